--- /dev/null
+++ b/balance/evidence.go
@@ -0,0 +1,106 @@
+package balance
+
+import (
+	"encoding/binary"
+
+	"github.com/carawayrack/carawayrack/clock"
+)
+
+// Evidence is what one host tells others of a target. Ages are in
+// milliseconds; never stands for no such event.
+type Evidence struct {
+	Key            uint32
+	Busy           uint8
+	Lacks          uint8
+	OKAge, FailAge uint16
+}
+
+const (
+	never        = 0xffff
+	evidenceSize = 10
+)
+
+// EncodeEvidence appends the binary form of l to b.
+func EncodeEvidence(b []byte, l []Evidence) []byte {
+	for _, e := range l {
+		b = binary.LittleEndian.AppendUint32(b, e.Key)
+		b = append(b, e.Busy, e.Lacks)
+		b = binary.LittleEndian.AppendUint16(b, e.OKAge)
+		b = binary.LittleEndian.AppendUint16(b, e.FailAge)
+	}
+	return b
+}
+
+// DecodeEvidence reads what EncodeEvidence wrote; a torn rest is left out.
+func DecodeEvidence(b []byte) []Evidence {
+	var l []Evidence
+	for len(b) >= evidenceSize {
+		l = append(l, Evidence{
+			Key: binary.LittleEndian.Uint32(b), Busy: b[4], Lacks: b[5],
+			OKAge: binary.LittleEndian.Uint16(b[6:]), FailAge: binary.LittleEndian.Uint16(b[8:]),
+		})
+		b = b[evidenceSize:]
+	}
+	return l
+}
+
+func age(now, at clock.Millis) uint16 {
+	if at == 0 || now-at >= never {
+		return never
+	}
+	return uint16(max(now-at, 0))
+}
+
+// Changed returns evidence on the targets whose state has changed since the
+// last call.
+func (p *Pool) Changed(now clock.Millis) []Evidence {
+	var l []Evidence
+	for _, t := range p.order {
+		if !t.changed {
+			continue
+		}
+		t.changed = false
+		l = append(l, t.evidence(now))
+	}
+	return l
+}
+
+// Of returns the evidence on one target.
+func (p *Pool) Of(now clock.Millis, id string) (Evidence, bool) {
+	t := p.targets[id]
+	if t == nil {
+		return Evidence{}, false
+	}
+	return t.evidence(now), true
+}
+
+func (t *target) evidence(now clock.Millis) Evidence {
+	return Evidence{
+		Key: t.key, Busy: uint8(min(t.mine, 255)), Lacks: uint8(t.lacks),
+		OKAge: age(now, t.okAt), FailAge: age(now, t.failAt),
+	}
+}
+
+// Learn takes over evidence of another host. It reports whether the target
+// belongs to this pool.
+func (p *Pool) Learn(now clock.Millis, host string, e Evidence) bool {
+	t := p.byKey[e.Key]
+	if t == nil {
+		return false
+	}
+	t.peers[host] = peerCount{int(e.Busy), now}
+	if e.FailAge != never {
+		if at := now - clock.Millis(e.FailAge); at > t.failAt && at > t.okAt {
+			t.fail(at, max(int(e.Lacks), 1))
+		}
+	}
+	if e.OKAge != never {
+		if at := now - clock.Millis(e.OKAge); at > t.okAt && at > t.failAt {
+			t.okAt = at
+			if t.lacks > int(e.Lacks) {
+				t.lacks = int(e.Lacks)
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/catalog/problem.go
@@ -0,0 +1,74 @@
+package catalog
+
+import "fmt"
+
+// Invalid is the error of a configuration that must not come into force.
+type Invalid struct {
+	// Item names the part of the configuration, Reason what is wrong with it.
+	Item, Reason string
+}
+
+// Error describes the failure.
+func (e Invalid) Error() string { return fmt.Sprintf("%s: %s", e.Item, e.Reason) }
+
+// Validate checks a configuration as a whole. The error is Invalid.
+func (c *Config) Validate() error {
+	services := map[string]bool{}
+	for _, s := range c.Services {
+		if s.Name == "" {
+			return Invalid{"service", "has no name"}
+		}
+		services[s.Name] = true
+	}
+	for _, r := range c.Routes {
+		if err := r.validate(services); err != nil {
+			return err
+		}
+	}
+	return c.validateKeys()
+}
+
+func (c *Config) validateKeys() error {
+	holders := map[string]string{}
+	for _, a := range c.Accounts {
+		if a.Name == "" {
+			return Invalid{"account", "has no name"}
+		}
+		for _, k := range a.Keys {
+			if h, ok := holders[k]; ok && h != a.Name {
+				return Invalid{"account " + a.Name, "shares a key with " + h}
+			}
+			holders[k] = a.Name
+		}
+	}
+	return nil
+}
+
+func (r Route) validate(services map[string]bool) error {
+	item := "route " + r.Name
+	if r.Host == "" {
+		return Invalid{item, "has no host"}
+	}
+	if r.Prefix == "" || r.Prefix[0] != '/' {
+		return Invalid{item, "has a prefix that does not begin with a slash"}
+	}
+	switch r.Kind {
+	case Idempotent, Unsafe, Upload:
+	default:
+		return Invalid{item, "has the unknown kind " + string(r.Kind)}
+	}
+	sum := 0
+	for _, p := range r.Parts {
+		if !services[p.Service] {
+			return Invalid{item, "leads to the unknown service " + p.Service}
+		}
+		if p.Weight < 0 {
+			return Invalid{item, "has a negative weight"}
+		}
+		sum += p.Weight
+	}
+	if sum == 0 {
+		return Invalid{item, "has weights that add up to zero"}
+	}
+	return nil
+}
--- /dev/null
+++ b/catalog/state.go
@@ -0,0 +1,149 @@
+// Package catalog is what control replicas agree on and hosts go by: the
+// configuration, the targets that announced themselves and the availability
+// zones taken out.
+package catalog
+
+import (
+	"encoding/json"
+	"sort"
+
+	"github.com/pkg/errors"
+)
+
+// State is the replicated state. Apply changes it in place; readers that need
+// a stable view work on a Clone.
+type State struct {
+	// Sequence counts the changes.
+	Sequence uint64 `json:"sequence"`
+	// Version and Document are the configuration in force.
+	Version  uint64            `json:"version"`
+	Document []byte            `json:"document"`
+	Targets  map[string]Target `json:"targets"`
+	// ZonesOut are the zones that get no new work.
+	ZonesOut map[string]bool `json:"zonesOut"`
+
+	// Config is the parsed Document, nil before the first.
+	Config *Config `json:"-"`
+	// Translate parses documents.
+	Translate func(document []byte) (*Config, error) `json:"-"`
+}
+
+// goneKept is the number of targets that are gone of which the state still
+// knows that they are.
+const goneKept = 2000
+
+// New returns an empty state.
+func New(translate func([]byte) (*Config, error)) *State {
+	return &State{Targets: map[string]Target{}, ZonesOut: map[string]bool{}, Translate: translate}
+}
+
+// Apply applies a change.
+func (s *State) Apply(c Change) error {
+	s.Sequence++
+	if c.Document != nil && c.Version > s.Version {
+		s.Version, s.Document = c.Version, c.Document
+		if err := s.parse(); err != nil {
+			return err
+		}
+	}
+	if c.Evacuate != "" {
+		s.ZonesOut[c.Evacuate] = true
+	}
+	if c.Restore != "" {
+		delete(s.ZonesOut, c.Restore)
+	}
+	for _, t := range c.Targets {
+		s.put(t)
+	}
+	return nil
+}
+
+func (s *State) parse() error {
+	b, err := Expand(s.Document)
+	if err != nil {
+		return err
+	}
+	c, err := s.Translate(b)
+	if err != nil {
+		return errors.Wrap(err, "catalog.parse")
+	}
+	c.Index()
+	s.Config = c
+	return nil
+}
+
+func (s *State) put(t Target) {
+	if o, ok := s.Targets[t.ID]; ok && !o.Older(t) {
+		return
+	}
+	if t.Phase == Serving {
+		for id, o := range s.Targets {
+			if o.Addr != t.Addr || id == t.ID || o.Phase == Gone {
+				continue
+			}
+			if o.Born > t.Born {
+				t.Phase = Gone
+				continue
+			}
+			o.Phase = Gone
+			s.Targets[id] = o
+		}
+	}
+	s.Targets[t.ID] = t
+	if t.Phase == Gone {
+		s.forget()
+	}
+}
+
+// forget drops the targets that have been gone for longest.
+func (s *State) forget() {
+	if len(s.Targets) <= goneKept {
+		return
+	}
+	var l []Target
+	for _, t := range s.Targets {
+		if t.Phase == Gone {
+			l = append(l, t)
+		}
+	}
+	sort.Slice(l, func(i, j int) bool {
+		if l[i].Born != l[j].Born {
+			return l[i].Born < l[j].Born
+		}
+		return l[i].ID < l[j].ID
+	})
+	for _, t := range l[:len(l)/2] {
+		delete(s.Targets, t.ID)
+	}
+}
+
+// News returns the part of an announcement that others must know: false if
+// the state knows it already or something newer.
+func (s *State) News(t Target) bool {
+	o, ok := s.Targets[t.ID]
+	if !ok {
+		return true
+	}
+	if !o.Older(t) || (o.Born == t.Born && o.Phase == Gone) {
+		return false
+	}
+	return t.Differs(o)
+}
+
+// Encode returns the state as JSON.
+func (s *State) Encode() ([]byte, error) {
+	b, err := json.Marshal(s)
+	return b, errors.Wrap(err, "catalog.State.Encode")
+}
+
+// Decode reads a state.
+func Decode(b []byte, translate func([]byte) (*Config, error)) (*State, error) {
+	s := New(translate)
+	if err := json.Unmarshal(b, s); err != nil {
+		return nil, errors.Wrap(err, "catalog.Decode")
+	}
+	if s.Document == nil {
+		return s, nil
+	}
+	return s, s.parse()
+}
--- a/cmd/carawayrack/main.go
+++ b/cmd/carawayrack/main.go
@@ -15,6 +15,8 @@
 	p := command.Program{Name: "carawayrack", Version: version, Commands: []command.Command{
 		{Name: "control", Usage: usageControl, Run: runControl},
 		{Name: "host", Usage: usageHost, Run: runHost},
+		{Name: "core", Usage: usageCore, Run: runCore},
+		{Name: "edge", Usage: usageEdge, Run: runEdge},
 		{Name: "apply", Usage: usageApply, Run: runApply},
 		{Name: "diff", Usage: usageDiff, Run: runDiff},
 		{Name: "keys", Usage: usageKeys, Run: runKeys},
--- /dev/null
+++ b/coordinator/lender.go
@@ -0,0 +1,143 @@
+package coordinator
+
+import (
+	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/share"
+)
+
+// purseShare is the part of an account's rate that a control process holds
+// ahead for its hosts.
+const purseShare = 0.04
+
+// lender lends the tokens of client accounts: the leader from buckets, the
+// others from purses that the leader fills.
+type lender struct {
+	buckets map[string]*share.Bucket
+	purses  map[string]*share.Purse
+	leading bool
+	// leader is the address of the leader, empty if there is none.
+	leader string
+}
+
+func (l *lender) run() {
+	l.buckets = map[string]*share.Bucket{}
+	l.purses = map[string]*share.Purse{}
+}
+
+func (l *lender) lead(now clock.Millis, leading bool, c *catalog.Config) {
+	l.leading = leading
+	l.buckets = map[string]*share.Bucket{}
+	if !leading || c == nil {
+		return
+	}
+	for _, a := range c.Accounts {
+		if a.Rate > 0 {
+			b := &share.Bucket{Rate: a.Rate, Burst: a.Burst}
+			b.Run(now, takeoverShare)
+			l.buckets[a.Name] = b
+		}
+	}
+}
+
+// limits follows a new configuration.
+func (l *lender) limits(c *catalog.Config) {
+	if c == nil {
+		return
+	}
+	for n := range l.buckets {
+		if a := c.Account(n); a == nil || a.Rate <= 0 {
+			delete(l.buckets, n)
+		}
+	}
+	for _, a := range c.Accounts {
+		if p := l.purses[a.Name]; p != nil {
+			p.Ahead = 1 + int(a.Rate*purseShare)
+		} else {
+			l.purses[a.Name] = &share.Purse{Ahead: 1 + int(a.Rate*purseShare)}
+		}
+		if b := l.buckets[a.Name]; b != nil {
+			b.Rate, b.Burst = a.Rate, a.Burst
+		} else if l.leading && a.Rate > 0 {
+			l.buckets[a.Name] = &share.Bucket{Rate: a.Rate, Burst: a.Burst}
+		}
+	}
+}
+
+// take lends tokens at the leader.
+func (l *lender) take(now clock.Millis, account string, n int) (int, clock.Millis) {
+	b := l.buckets[account]
+	if b == nil {
+		return 0, 0
+	}
+	k := b.Take(now, n)
+	if k > 0 {
+		return k, 0
+	}
+	return 0, b.Wait(now)
+}
+
+// borrow answers a host, or another control process at the leader.
+func (l *lender) borrow(now clock.Millis, a BorrowArgs) BorrowReply {
+	if l.leading {
+		k, w := l.take(now, a.Account, a.Tokens+a.Ahead)
+		return BorrowReply{Tokens: k, Wait: w, Known: true}
+	}
+	p := l.purses[a.Account]
+	if p == nil {
+		return BorrowReply{Known: true}
+	}
+	if p.Spend(now, a.Tokens) {
+		return BorrowReply{Tokens: a.Tokens, Known: true}
+	}
+	if w := p.Wait(now); w > 0 {
+		return BorrowReply{Wait: w, Known: true}
+	}
+	return BorrowReply{Leader: l.leader}
+}
+
+// keep puts tokens in a purse that the leader lent, or notes that it has none.
+func (l *lender) keep(now clock.Millis, m *lent) {
+	p := l.purses[m.Account]
+	if p == nil {
+		return
+	}
+	p.Add(m.Tokens)
+	if m.Wait > 0 {
+		p.Empty(now, m.Wait)
+	}
+}
+
+// ahead grants what hosts want ahead, as far as it is there.
+func (l *lender) ahead(now clock.Millis, wants map[string]int) map[string]int {
+	var g map[string]int
+	for n, k := range wants {
+		got := 0
+		if l.leading {
+			got, _ = l.take(now, n, k)
+		} else if p := l.purses[n]; p != nil && p.Spend(now, k) {
+			got = k
+		}
+		if got > 0 {
+			if g == nil {
+				g = map[string]int{}
+			}
+			g[n] = got
+		}
+	}
+	return g
+}
+
+// wants returns what this process's purses want of the leader.
+func (l *lender) wants(now clock.Millis) map[string]int {
+	var w map[string]int
+	for n, p := range l.purses {
+		if k := p.Want(now); k > 0 {
+			if w == nil {
+				w = map[string]int{}
+			}
+			w[n] = k
+		}
+	}
+	return w
+}
--- /dev/null
+++ b/coordinator/peer.go
@@ -0,0 +1,57 @@
+package coordinator
+
+import (
+	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/replica"
+	"github.com/carawayrack/carawayrack/wire"
+)
+
+// Peer is the net/rpc face of a control process for hosts and other control
+// processes.
+type Peer struct{ c *Coordinator }
+
+// borrowTimeout bounds the question to the leader: a caller waits.
+const borrowTimeout = 300 * clock.Millis(1)
+
+// Deliver accepts messages of another replica.
+func (p Peer) Deliver(l []replica.Message, _ *wire.Nothing) error {
+	p.c.actors.Root.Send(p.c.replicaPID(), &deliver{l})
+	return nil
+}
+
+// Report serves other control processes.
+func (p Peer) Report(a ReportArgs, r *ReportReply) (err error) {
+	*r, err = ask[ReportReply](p.c, &report{a})
+	return err
+}
+
+// Propose appends a change to the log and waits until it is accepted.
+func (p Peer) Propose(a ProposeArgs, r *ProposeReply) (err error) {
+	*r, err = ask[ProposeReply](p.c, &propose{a.Data})
+	return err
+}
+
+// Exchange serves hosts.
+func (p Peer) Exchange(a ExchangeArgs, r *ExchangeReply) (err error) {
+	*r, err = ask[ExchangeReply](p.c, &exchange{a})
+	return err
+}
+
+// Borrow lends tokens at once, if need be by asking the leader.
+func (p Peer) Borrow(a BorrowArgs, r *BorrowReply) (err error) {
+	*r, err = ask[BorrowReply](p.c, &borrow{a})
+	if err != nil || r.Known || r.Leader == "" || r.Leader == p.c.Settings.Peer {
+		return err
+	}
+	var l BorrowReply
+	if err := p.c.pool.Get(r.Leader).Call("Peer.Borrow", a, &l, borrowTimeout); err != nil {
+		return err
+	}
+	if !l.Known {
+		*r = BorrowReply{}
+		return nil
+	}
+	*r = BorrowReply{Tokens: min(l.Tokens, a.Tokens+a.Ahead), Wait: l.Wait, Known: true}
+	p.c.actors.Root.Send(p.c.replicaPID(), &lent{Account: a.Account, Tokens: l.Tokens - r.Tokens, Wait: l.Wait})
+	return nil
+}
--- /dev/null
+++ b/edge/attempt.go
@@ -0,0 +1,273 @@
+package edge
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"github.com/carawayrack/carawayrack/balance"
+	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/forward"
+	"github.com/carawayrack/carawayrack/slots"
+)
+
+const (
+	// patienceFactor times the usual answer plus patienceMin is how long a
+	// request that may be repeated waits for one target.
+	patienceFactor = 4
+	patienceMin    = 100 * clock.Millis(1)
+	// answerMargin is the time that a target's own answer at the deadline has
+	// to arrive.
+	answerMargin = 20 * clock.Millis(1)
+	// bufferedAnswer is the size up to which answers are read whole before
+	// the caller sees them.
+	bufferedAnswer = 4 << 20
+)
+
+// attempt is one try of a call at one target.
+type attempt struct {
+	call     *call
+	choice   balance.Choice
+	exchange *forward.Exchange
+	started  clock.Millis
+	response *http.Response
+	body     []byte
+}
+
+// run sends the request to targets until it is answered. The refusal is nil
+// if there is a whole answer of a target.
+func (c *call) run() (*attempt, *refusal) {
+	c.host.view.first(c.start, c.service)
+	var x *refusal
+	for {
+		a, r := c.try(x)
+		if r != nil {
+			return nil, r
+		}
+		var again bool
+		if x, again = a.run(); x == nil {
+			if !again || !c.mayRetry() {
+				return a, nil
+			}
+			x = &refusal{TargetFailed, http.StatusBadGateway, 0, "status " + strconv.Itoa(a.response.StatusCode)}
+			if b, r := c.try(x); r == nil {
+				if y, _ := b.run(); y == nil {
+					return b, nil
+				}
+			}
+			return a, nil
+		}
+		if !again || !c.mayRetry() {
+			return nil, x
+		}
+	}
+}
+
+// mayRetry reports whether one more target may be tried.
+func (c *call) mayRetry() bool {
+	if c.context.Err() != nil || c.left() <= 0 || !c.repeatable() {
+		return false
+	}
+	limit := max(c.route.Attempts, 1)
+	if c.sent >= limit {
+		return false
+	}
+	return c.sent == 0 || c.host.view.again(c.service)
+}
+
+// try chooses a target; last is why the one before failed.
+func (c *call) try(last *refusal) (*attempt, *refusal) {
+	now := c.host.Clock.Now()
+	ask := balance.Ask{
+		Repeatable: c.idempotent() && len(c.tried) == 0,
+		Spare:      c.sent+1 < max(c.route.Attempts, 1) && c.repeatable(),
+		Bulky:      c.route.Kind == catalog.Upload,
+		Avoid:      c.tried,
+	}
+	h, ok := c.host.view.pick(now, c.service, ask)
+	if !ok && last != nil {
+		return nil, last
+	}
+	if !ok {
+		return nil, &refusal{TargetsFull, http.StatusServiceUnavailable, retryFull, "service " + c.service}
+	}
+	c.tried = append(c.tried, h.ID)
+	c.host.gossip.changed()
+	return &attempt{call: c, choice: h, started: now}, nil
+}
+
+// retryFull is when callers should come back to a service without room.
+const retryFull = 300 * clock.Millis(1)
+
+// run tries one target. Without a refusal there is a whole answer; again
+// tells whether another target may be tried.
+func (a *attempt) run() (x *refusal, again bool) {
+	c := a.call
+	a.exchange = &forward.Exchange{
+		Pool: c.host.conns, Addr: a.choice.Addr, Request: c.outgoing(a.choice.ID),
+		Once: !c.idempotent(), Deadline: c.deadline(c.end + answerMargin),
+		Foreign: a.foreign, Unframed: true,
+	}
+	typical := c.host.view.typical(c.service)
+	if c.idempotent() && c.sent+1 < c.route.Attempts && typical > 0 {
+		a.exchange.FirstByte = patienceFactor*typical + patienceMin
+	}
+	r, err := a.exchange.Run(c.context)
+	if err != nil {
+		return a.failed(err.(*forward.Failure))
+	}
+	c.sent++
+	a.response = r
+	if r.Header.Get(c.host.Headers.NotRun) != "" {
+		a.end(balance.Shed)
+		return &refusal{TargetsFull, http.StatusServiceUnavailable, retryFull, a.choice.ID + " shed the request"}, true
+	}
+	if r.StatusCode == http.StatusMisdirectedRequest {
+		a.end(balance.Misdirected)
+		return &refusal{TargetFailed, http.StatusServiceUnavailable, retryFull, a.choice.ID + " is not at its address"}, true
+	}
+	c.mayHaveRun = true
+	return a.read()
+}
+
+// foreign reports whether an answer belongs to another request.
+func (a *attempt) foreign(r *http.Response) bool {
+	got := r.Header.Get(a.call.host.Headers.RequestID)
+	return got != "" && got != a.call.id
+}
+
+// failed ends a try without answer.
+func (a *attempt) failed(f *forward.Failure) (*refusal, bool) {
+	c := a.call
+	if f.NotRun {
+		if f.Outcome == slots.Cancelled {
+			a.end(balance.Cancelled)
+			return &refusal{CallerLeft, http.StatusServiceUnavailable, 0, "before the request was sent"}, false
+		}
+		a.end(balance.Unreached)
+		return &refusal{NoTarget, http.StatusServiceUnavailable, retryFull, f.Error()}, true
+	}
+	c.sent++
+	c.mayHaveRun = true
+	if f.Outcome == slots.Cancelled {
+		a.end(balance.Cancelled)
+		return &refusal{CallerLeft, http.StatusBadGateway, 0, "while a target was at work"}, false
+	}
+	if f.Outcome == slots.TimedOut || f.Outcome == slots.SilentConnection {
+		a.end(balance.TimedOut)
+		return &refusal{OutOfTime, http.StatusGatewayTimeout, 0, f.Error()}, c.idempotent()
+	}
+	a.end(balance.Broken)
+	return &refusal{TargetFailed, http.StatusBadGateway, 0, f.Error()}, c.idempotent()
+}
+
+// Garbled is the error of an answer that is not a target's answer to the
+// request.
+type Garbled struct{ What string }
+
+// Error describes the failure.
+func (e Garbled) Error() string { return "garbled answer: " + e.What }
+
+// read reads the answer whole and judges it.
+func (a *attempt) read() (*refusal, bool) {
+	c := a.call
+	b, err := io.ReadAll(io.LimitReader(a.response.Body, bufferedAnswer))
+	if err == nil {
+		err = a.check()
+	}
+	if err != nil {
+		if c.context.Err() != nil {
+			a.end(balance.Cancelled)
+			return &refusal{CallerLeft, http.StatusBadGateway, 0, "while a target was at work"}, false
+		}
+		a.end(balance.Broken)
+		return &refusal{TargetFailed, http.StatusBadGateway, 0, err.Error()}, c.idempotent()
+	}
+	a.body = b
+	o := balance.Served
+	if a.response.StatusCode >= http.StatusInternalServerError {
+		o = balance.Failed
+	}
+	if len(b) < bufferedAnswer {
+		a.end(o)
+	}
+	return nil, o == balance.Failed && c.idempotent()
+}
+
+// check finds out whether the answer is one of the target to this request.
+func (a *attempt) check() error {
+	h := a.response.Header
+	n := a.call.host.Headers
+	ok := a.response.StatusCode >= 200 && a.response.StatusCode < 300
+	switch {
+	case h.Get("Content-Encoding") != "":
+		return Garbled{"encoded as " + h.Get("Content-Encoding")}
+	case ok && h.Get(n.Seal) == "":
+		return Garbled{"success without a seal"}
+	case ok && h.Get(n.RequestID) != a.call.id:
+		return Garbled{"success without the request's ID"}
+	case promises(a.response.StatusCode) && !a.call.idempotent():
+		return Garbled{"status " + strconv.Itoa(a.response.StatusCode) + " of a target that ran the request"}
+	}
+	return nil
+}
+
+// promises reports whether a status says that a request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// end closes or keeps the connection and notes the outcome.
+func (a *attempt) end(o balance.Outcome) {
+	c := a.call
+	now := c.host.Clock.Now()
+	if o == balance.Served || o == balance.Failed {
+		a.exchange.Finish()
+	} else {
+		a.exchange.Close()
+	}
+	r := balance.Result{Outcome: o, Took: now - a.started}
+	if a.response != nil {
+		r.Load = parseLoad(a.response.Header.Get(c.host.Headers.Load))
+		if n, err := strconv.ParseInt(a.response.Header.Get(c.host.Headers.Cold), 10, 64); err == nil {
+			r.Cold = clock.Millis(n)
+		}
+	}
+	c.host.view.done(now, c.service, a.choice.ID, r)
+	c.host.metrics.attempt(c.service, o)
+	if o == balance.Served && !a.choice.Probe {
+		c.host.gossip.changed()
+	} else {
+		c.host.gossip.alarm(c.service, a.choice.ID)
+	}
+	if o != balance.Served {
+		c.host.Log.Info("attempt", zap.String("request", c.id), zap.String("target", a.choice.ID),
+			zap.String("service", c.service), zap.Int("outcome", int(o)), zap.Int64("tookMs", int64(r.Took)),
+			zap.Bool("probe", a.choice.Probe), zap.Int("busy", a.choice.Busy), zap.Int64("ageMs", int64(a.choice.Age)))
+	}
+}
+
+// parseLoad reads "running,waiting,slots".
+func parseLoad(s string) balance.Load {
+	f := strings.Split(s, ",")
+	if len(f) != 3 {
+		return balance.Load{}
+	}
+	var n [3]int
+	for i, x := range f {
+		v, err := strconv.Atoi(strings.TrimSpace(x))
+		if err != nil {
+			return balance.Load{}
+		}
+		n[i] = v
+	}
+	return balance.Load{Known: true, Running: n[0], Waiting: n[1], Slots: n[2]}
+}
--- /dev/null
+++ b/edge/gossip.go
@@ -0,0 +1,122 @@
+package edge
+
+import (
+	"crypto/sha256"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawayrack/carawayrack/balance"
+	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/coordinator"
+)
+
+const (
+	// gatherFor is the time for which changes are gathered into one datagram.
+	gatherFor   = 10 * clock.Millis(1)
+	datagramMax = 1200
+	markSize    = 4
+)
+
+// gossip tells other hosts what this one sees of targets, as datagrams: all
+// changes to the hosts of its own zone, and failures to all.
+type gossip struct {
+	settings Settings
+	clock    clock.Clock
+	log      *zap.Logger
+	view     *view
+
+	conn  *net.UDPConn
+	mark  [markSize]byte
+	dirty chan struct{}
+}
+
+func (g *gossip) run() error {
+	a, err := net.ResolveUDPAddr("udp4", g.settings.Peer)
+	if err != nil {
+		return err
+	}
+	if g.conn, err = net.ListenUDP("udp4", a); err != nil {
+		return err
+	}
+	s := sha256.Sum256([]byte(g.settings.Secret))
+	copy(g.mark[:], s[:])
+	g.dirty = make(chan struct{}, 1)
+	go g.receiveLoop()
+	go g.loop()
+	return nil
+}
+
+// changed tells that there is something to say to the own zone.
+func (g *gossip) changed() {
+	select {
+	case g.dirty <- struct{}{}:
+	default:
+	}
+}
+
+func (g *gossip) loop() {
+	for range g.dirty {
+		time.Sleep(gatherFor.Duration())
+		g.send(g.view.changedEvidence(g.clock.Now()), g.view.peers(false))
+	}
+}
+
+// alarm tells all hosts at once that a target failed or recovered.
+func (g *gossip) alarm(service, id string) {
+	if e, ok := g.view.evidenceOf(g.clock.Now(), service, id); ok {
+		g.send([]balance.Evidence{e}, g.view.peers(true))
+	}
+}
+
+// send sends evidence to hosts.
+func (g *gossip) send(l []balance.Evidence, to []coordinator.Host) {
+	if len(l) == 0 {
+		return
+	}
+	b := append(make([]byte, 0, datagramMax), g.mark[:]...)
+	b = append(b, byte(len(g.settings.ID)))
+	b = append(b, g.settings.ID...)
+	b = balance.EncodeEvidence(b, l)
+	if len(b) > datagramMax {
+		b = b[:datagramMax]
+	}
+	for _, h := range to {
+		if h.ID == g.settings.ID {
+			continue
+		}
+		a, err := net.ResolveUDPAddr("udp4", h.Peer)
+		if err != nil {
+			g.log.Warn("host with an unusable address", zap.String("host", h.ID), zap.Error(err))
+			continue
+		}
+		// Evidence that is lost is made up for by what comes next.
+		_, _ = g.conn.WriteToUDP(b, a)
+	}
+}
+
+func (g *gossip) receiveLoop() {
+	b := make([]byte, datagramMax)
+	for {
+		n, _, err := g.conn.ReadFromUDP(b)
+		if err != nil {
+			g.log.Warn("datagrams cannot be read", zap.Error(err))
+			time.Sleep(busyInterval.Duration())
+			continue
+		}
+		g.receive(b[:n])
+	}
+}
+
+func (g *gossip) receive(b []byte) {
+	if len(b) <= markSize || [markSize]byte(b[:markSize]) != g.mark {
+		return
+	}
+	b = b[markSize:]
+	k := int(b[0])
+	if len(b) < 1+k {
+		return
+	}
+	g.view.learn(g.clock.Now(), string(b[1:1+k]), balance.DecodeEvidence(b[1+k:]))
+}
--- /dev/null
+++ b/edge/peers.go
@@ -0,0 +1,66 @@
+package edge
+
+import (
+	"github.com/carawayrack/carawayrack/balance"
+	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/coordinator"
+)
+
+// peers returns the hosts that take requests: of the own zone, or of all.
+func (v *view) peers(all bool) []coordinator.Host {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !all {
+		return coordinator.Active(v.fleet.Hosts, v.zone)
+	}
+	return v.active()
+}
+
+// active returns the hosts of all zones that take requests.
+func (v *view) active() []coordinator.Host {
+	var l []coordinator.Host
+	seen := map[string]bool{}
+	for _, h := range v.fleet.Hosts {
+		if !seen[h.Zone] {
+			seen[h.Zone] = true
+			l = append(l, coordinator.Active(v.fleet.Hosts, h.Zone)...)
+		}
+	}
+	return l
+}
+
+// activeCount returns the number of hosts that take requests.
+func (v *view) activeCount() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.active())
+}
+
+func (v *view) changedEvidence(now clock.Millis) []balance.Evidence {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var l []balance.Evidence
+	for _, p := range v.pools {
+		l = append(l, p.Changed(now)...)
+	}
+	return l
+}
+
+func (v *view) evidenceOf(now clock.Millis, service, id string) (balance.Evidence, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.pool(service).Of(now, id)
+}
+
+// learn takes over evidence of another host.
+func (v *view) learn(now clock.Millis, host string, l []balance.Evidence) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range l {
+		for _, p := range v.pools {
+			if p.Learn(now, host, e) {
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/edge/refusal.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/carawayrack/carawayrack/clock"
+)
+
+// Reason says why the host ended a request itself.
+type Reason string
+
+// The reasons.
+const (
+	NoConfiguration Reason = "noConfiguration"
+	NotCurrent      Reason = "configurationNotCurrent"
+	NoRoute         Reason = "noRoute"
+	UnknownKey      Reason = "unknownKey"
+	OverQuota       Reason = "overQuota"
+	BadRequest      Reason = "badRequest"
+	BodyTooLarge    Reason = "bodyTooLarge"
+	NoTarget        Reason = "noTarget"
+	TargetsFull     Reason = "targetsFull"
+	OutOfTime       Reason = "outOfTime"
+	TargetFailed    Reason = "targetFailed"
+	CallerLeft      Reason = "callerLeft"
+)
+
+// refusal is an answer of the host's own.
+type refusal struct {
+	reason Reason
+	status int
+	// retryAfter is when to come back, zero if that is not said.
+	retryAfter clock.Millis
+	cause      string
+}
+
+// Error describes the refusal.
+func (r *refusal) Error() string { return string(r.reason) + ": " + r.cause }
+
+func (r *refusal) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if r.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(float64(r.retryAfter)/float64(clock.Second), 'f', 3, 64))
+	}
+	b := []byte(`{"error":"` + string(r.reason) + `"}`)
+	h.Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(r.status)
+	// A caller that has left has no use for the answer.
+	_, _ = w.Write(b)
+}
--- /dev/null
+++ b/edge/state.go
@@ -0,0 +1,45 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/coordinator"
+)
+
+// State is the state of a host for a person.
+type State struct {
+	// Version is the version of the configuration, AgeMillis the age of the
+	// newest proof that it is current.
+	Version   uint64             `json:"version"`
+	AgeMillis clock.Millis       `json:"ageMillis"`
+	Ready     bool               `json:"ready"`
+	Fleet     *coordinator.Fleet `json:"fleet"`
+	// Targets holds by service how many targets are not trusted, of how many.
+	Targets map[string][2]int `json:"targets"`
+}
+
+// State returns the state of the host.
+func (h *Host) State() State {
+	c, age := h.view.current(h.Clock.Now())
+	s := State{AgeMillis: age, Ready: h.Ready(), Targets: map[string][2]int{}}
+	if c != nil {
+		s.Version = c.Version
+	}
+	h.view.mu.Lock()
+	defer h.view.mu.Unlock()
+	s.Fleet = h.view.fleet
+	for n, p := range h.view.pools {
+		sick, all := p.Sick()
+		s.Targets[n] = [2]int{sick, all}
+	}
+	return s
+}
+
+// ServeState writes the state of the host as JSON.
+func (h *Host) ServeState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	// A reader that has left has no use for the rest.
+	_ = json.NewEncoder(w).Encode(h.State())
+}
--- /dev/null
+++ b/edge/tokens.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"sync"
+
+	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/share"
+)
+
+const (
+	// purseShare is the part of an account's rate that a host holds ahead.
+	purseShare = 0.025
+	// fallbackShare is the part of its share of a rate that a host uses while
+	// nobody lends.
+	fallbackShare = 0.7
+	fallbackBurst = 0.1
+	borrowTimeout = 350 * clock.Millis(1)
+	// minEmpty is the shortest time for which an account counts as empty.
+	minEmpty = 30 * clock.Millis(1)
+	// fallbackFor is how long a host goes on without asking again.
+	fallbackFor = 200 * clock.Millis(1)
+)
+
+// tokens holds the host's tokens of client accounts.
+type tokens struct {
+	clock clock.Clock
+	// borrow asks a control process.
+	borrow func(coordinator.BorrowArgs) (coordinator.BorrowReply, error)
+	// hosts returns the number of hosts that take requests.
+	hosts func() int
+
+	mu       sync.Mutex
+	accounts map[string]*purse
+	// aloneUntil is the end of the time in which nobody is asked.
+	aloneUntil clock.Millis
+}
+
+// purse is what the host holds for one account.
+type purse struct {
+	share.Purse
+	fallback share.Bucket
+}
+
+func (t *tokens) run() { t.accounts = map[string]*purse{} }
+
+func (t *tokens) purse(now clock.Millis, a *catalog.Account) *purse {
+	p := t.accounts[a.Name]
+	if p == nil {
+		p = &purse{}
+		p.fallback.Run(now, 0)
+		t.accounts[a.Name] = p
+	}
+	p.Ahead = 1 + int(a.Rate*purseShare)
+	return p
+}
+
+// take takes one token. Without one it returns the time until there may be
+// one again.
+func (t *tokens) take(a *catalog.Account) (bool, clock.Millis) {
+	if a.Rate <= 0 {
+		return true, 0
+	}
+	now := t.clock.Now()
+	t.mu.Lock()
+	p := t.purse(now, a)
+	if p.Spend(now, 1) {
+		t.mu.Unlock()
+		return true, 0
+	}
+	if w := p.Wait(now); w > 0 {
+		t.mu.Unlock()
+		return false, w
+	}
+	if now < t.aloneUntil {
+		defer t.mu.Unlock()
+		return t.alone(now, a, p)
+	}
+	want := p.Want(now)
+	t.mu.Unlock()
+	r, err := t.borrow(coordinator.BorrowArgs{Account: a.Name, Tokens: 1, Ahead: max(want-1, 0)})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now = t.clock.Now()
+	if err != nil || !r.Known {
+		t.aloneUntil = now + fallbackFor
+		return t.alone(now, a, p)
+	}
+	p.Add(r.Tokens)
+	if p.Retry(1) {
+		return true, 0
+	}
+	w := max(r.Wait, minEmpty)
+	p.Empty(now, w)
+	return false, w
+}
+
+// alone uses the host's own part of the rate while nobody lends.
+func (t *tokens) alone(now clock.Millis, a *catalog.Account, p *purse) (bool, clock.Millis) {
+	n := float64(max(t.hosts(), 1))
+	p.fallback.Limit(now, a.Rate*fallbackShare/n, 1+a.Rate*fallbackBurst/n)
+	if p.fallback.Take(now, 1) == 1 {
+		return true, 0
+	}
+	return false, max(p.fallback.Wait(now), minEmpty)
+}
+
+// wants returns the tokens to borrow ahead.
+func (t *tokens) wants(now clock.Millis) map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var w map[string]int
+	for n, p := range t.accounts {
+		if k := p.Want(now); k > 0 {
+			if w == nil {
+				w = map[string]int{}
+			}
+			w[n] = k
+		}
+	}
+	return w
+}
+
+// add puts borrowed tokens in.
+func (t *tokens) add(g map[string]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n, k := range g {
+		if p := t.accounts[n]; p != nil {
+			p.Add(k)
+		}
+	}
+}
--- /dev/null
+++ b/edge/view.go
@@ -0,0 +1,187 @@
+package edge
+
+import (
+	"sync"
+
+	"github.com/carawayrack/carawayrack/balance"
+	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/share"
+)
+
+// view is what a host believes: the catalog, how current it is, the other
+// hosts, and the state of the targets.
+type view struct {
+	zone   string
+	retry  RetryBudget
+	random func(n int) int
+
+	mu      sync.Mutex
+	config  *catalog.Config
+	freshAt clock.Millis
+	known   bool
+	fleet   *coordinator.Fleet
+	pools   map[string]*balance.Pool
+	budgets map[string]*share.Retry
+}
+
+func (v *view) run() {
+	v.pools = map[string]*balance.Pool{}
+	v.budgets = map[string]*share.Retry{}
+	v.fleet = &coordinator.Fleet{}
+}
+
+// there is none.
+func (v *view) current(now clock.Millis) (*catalog.Config, clock.Millis) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.known {
+		return nil, 0
+	}
+	return v.config, now - v.freshAt
+}
+
+// proven notes a proof that the state was current at a time.
+func (v *view) proven(at clock.Millis) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.known || at > v.freshAt {
+		v.freshAt, v.known = at, true
+	}
+}
+
+// set takes over a new state.
+func (v *view) set(now clock.Millis, s *catalog.State) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.config = s.Config
+	by := map[string][]catalog.Target{}
+	for _, t := range s.Targets {
+		by[t.Service] = append(by[t.Service], t)
+	}
+	for n := range v.pools {
+		if by[n] == nil {
+			by[n] = nil
+		}
+	}
+	for n, l := range by {
+		p := v.pool(n)
+		if s.Config != nil {
+			if c := s.Config.Service(n); c != nil {
+				p.Service = *c
+			}
+		}
+		p.Set(now, l, s.ZonesOut)
+	}
+}
+
+func (v *view) setFleet(f *coordinator.Fleet) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.fleet = f
+	for _, p := range v.pools {
+		p.Hosts = v.hostsHere()
+	}
+	for _, b := range v.budgets {
+		b.Depth = v.retryDepth()
+	}
+}
+
+func (v *view) hostsHere() int {
+	return max(len(coordinator.Active(v.fleet.Hosts, v.zone)), 1)
+}
+
+// retryDepth is this host's part of the allowance for retries.
+func (v *view) retryDepth() float64 {
+	return retryPart * v.retry.Slack / float64(max(len(v.active()), 1))
+}
+
+// retryPart is the part of the budget for retries that hosts use: a change
+// of the active hosts must not exceed it.
+const retryPart = 0.8
+
+func (v *view) pool(service string) *balance.Pool {
+	p := v.pools[service]
+	if p == nil {
+		p = &balance.Pool{Zone: v.zone, Random: v.random, Hosts: v.hostsHere()}
+		p.Run()
+		v.pools[service] = p
+	}
+	return p
+}
+
+func (v *view) budget(service string) *share.Retry {
+	b := v.budgets[service]
+	if b == nil {
+		b = &share.Retry{Ratio: retryPart * v.retry.Ratio, Depth: v.retryDepth()}
+		v.budgets[service] = b
+	}
+	return b
+}
+
+// part chooses the service of a request on a route by the weights, in turn.
+func (v *view) part(r *catalog.Route) string {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Service
+	}
+	sum := 0
+	for _, p := range r.Parts {
+		sum += p.Weight
+	}
+	v.mu.Lock()
+	k := v.random(sum)
+	v.mu.Unlock()
+	for _, p := range r.Parts {
+		if k -= p.Weight; k < 0 {
+			return p.Service
+		}
+	}
+	return r.Parts[0].Service
+}
+
+// pick chooses a target and tells how the retries stand.
+func (v *view) pick(now clock.Millis, service string, a balance.Ask) (balance.Choice, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	a.Spare = a.Spare && v.budget(service).Left() >= spareRetries
+	return v.pool(service).Pick(now, a)
+}
+
+// spareRetries is what must be left of the budget before requests are used
+// to try targets that are not trusted.
+const spareRetries = 2
+
+// done notes the end of a request at a target.
+func (v *view) done(now clock.Millis, service, id string, r balance.Result) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.pool(service).Done(now, id, r)
+}
+
+// first counts a request for the budget of retries.
+func (v *view) first(now clock.Millis, service string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.budget(service).Request(now)
+}
+
+// again takes a retry from the budget.
+func (v *view) again(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.budget(service).Spend()
+}
+
+func (v *view) typical(service string) clock.Millis {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.pool(service).Typical()
+}
+
+// cores returns the control processes that are known.
+func (v *view) cores() []coordinator.Core {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.Cores
+}
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	dialTimeout = 1 * clock.Second
-	// unackedTimeout ends connections whose peer acknowledges nothing.
-	unackedTimeout = 5 * clock.Second
 	tcpUserTimeout = 18
 	bufferSize     = 16 << 10
 )
@@ -27,6 +24,9 @@
 	written atomic.Int64
 	reused  bool
 	idleAt  clock.Millis
+	// idleLimit is how long the target keeps the connection, zero if it has
+	// not said.
+	idleLimit clock.Millis
 }
 
 // Write counts the bytes handed to the kernel.
@@ -37,8 +37,11 @@
 }
 
 // dial opens a connection.
-func dial(addr string) (*Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout.Duration(), Control: setUserTimeout}
+func (p *Pool) dial(addr string) (*Conn, error) {
+	u := int(p.unackedTimeout())
+	d := net.Dialer{Timeout: p.dialTimeout().Duration(), Control: func(_, _ string, c syscall.RawConn) error {
+		return setUserTimeout(c, u)
+	}}
 	n, err := d.Dial("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -46,10 +49,10 @@
 	return &Conn{Conn: n, addr: addr, reader: bufio.NewReaderSize(n, bufferSize)}, nil
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+func setUserTimeout(c syscall.RawConn, millis int) error {
 	var err error
 	f := func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout))
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, millis)
 	}
 	if e := c.Control(f); e != nil {
 		return e
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +32,11 @@
 	// Deadline is the end of the whole exchange.
 	FirstByte clock.Millis
 	Deadline  time.Time
+	// Foreign reports whether an answer belongs to an earlier request on the
+	// connection: it is skipped. It may be nil.
+	Foreign func(*http.Response) bool
+	// Unframed accepts answers that end with their connection.
+	Unframed bool
 
 	conn     *Conn
 	response *http.Response
@@ -76,7 +83,11 @@
 	e.start = time.Now()
 	e.context = c
 	e.stop = context.AfterFunc(c, e.interrupt)
-	go e.run()
+	if e.Request.ContentLength >= 0 && e.Request.ContentLength <= inlineBody {
+		e.run()
+	} else {
+		go e.run()
+	}
 	r, err := e.readAnswer()
 	if err != nil {
 		return nil, e.fail(c, err)
@@ -88,6 +99,15 @@
 	return r, nil
 }
 
+const (
+	// inlineBody is the size up to which a request fits the send buffer, so
+	// that writing it does not wait for the target.
+	inlineBody = 8 << 10
+	// maxForeign and maxForeignBody bound the answers that are skipped.
+	maxForeign     = 3
+	maxForeignBody = 1 << 20
+)
+
 // run writes the request.
 func (e *Exchange) run() {
 	err := e.Request.Write(e.conn)
@@ -124,21 +144,42 @@
 func (e *Exchange) interrupt() { _ = e.conn.SetDeadline(time.Unix(1, 0)) }
 
 func (e *Exchange) readAnswer() (*http.Response, error) {
+	skipped := 0
 	for {
 		r, err := http.ReadResponse(e.conn.reader, e.Request)
 		if err != nil {
 			return nil, err
 		}
-		if r.StatusCode >= 200 || r.StatusCode == http.StatusSwitchingProtocols {
-			e.mu.Lock()
-			e.answered = true
-			e.mu.Unlock()
-			e.readUntil(e.Deadline)
-			return r, lengthKnown(r)
+		if r.StatusCode < 200 && r.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		if e.Foreign != nil && e.Foreign(r) {
+			if skipped++; skipped > maxForeign {
+				return nil, ForeignAnswer{}
+			}
+			if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxForeignBody)); err != nil {
+				return nil, err
+			}
+			continue
 		}
+		e.mu.Lock()
+		e.answered = true
+		e.mu.Unlock()
+		e.readUntil(e.Deadline)
+		if e.Unframed {
+			return r, nil
+		}
+		return r, lengthKnown(r)
 	}
 }
 
+// ForeignAnswer is the cause of giving up a connection that carries answers to
+// other requests.
+type ForeignAnswer struct{}
+
+// Error describes the cause.
+func (ForeignAnswer) Error() string { return "the connection carries answers to other requests" }
+
 func lengthKnown(r *http.Response) error {
 	chunked := len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 	if r.ContentLength < 0 && !chunked {
@@ -185,6 +226,7 @@
 		clean := err == nil && !e.response.Close && e.conn.reader.Buffered() == 0
 		if clean {
 			_ = e.conn.SetDeadline(time.Time{})
+			e.conn.idleLimit = keepAlive(e.response)
 			e.Pool.put(e.conn)
 			return
 		}
@@ -217,3 +259,20 @@
 	e.stop()
 	_ = e.conn.Close()
 }
+
+// keepAliveMargin is the time by which a connection is dropped before its
+// target drops it.
+const keepAliveMargin = 1 * clock.Second
+
+// keepAlive returns how long the target keeps the connection open, less a
+// margin; zero if it does not say.
+func keepAlive(r *http.Response) clock.Millis {
+	for _, f := range strings.Split(r.Header.Get("Keep-Alive"), ",") {
+		k, v, _ := strings.Cut(strings.TrimSpace(f), "=")
+		n, err := strconv.Atoi(v)
+		if strings.EqualFold(k, "timeout") && err == nil && n > 0 {
+			return max(clock.Millis(n)*clock.Second-keepAliveMargin, keepAliveMargin/2)
+		}
+	}
+	return 0
+}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -10,21 +10,41 @@
 // Pool holds idle connections by address.
 type Pool struct {
 	Clock clock.Clock
+	// DialTimeout bounds the opening of a connection; UnackedTimeout ends a
+	// connection whose peer acknowledges nothing.
+	DialTimeout, UnackedTimeout clock.Millis
+	// IdleTimeout is how long an idle connection is kept, FreshIdle how long
+	// it may carry a request that must not be sent twice.
+	IdleTimeout, FreshIdle clock.Millis
 
 	mu      sync.Mutex
 	idle    map[string][]*Conn
 	stopped chan struct{}
 }
 
+// Defaults of a pool.
 const (
+	DefaultDialTimeout    = 1 * clock.Second
+	DefaultUnackedTimeout = 5 * clock.Second
+	DefaultIdleTimeout    = 20 * clock.Second
+	DefaultFreshIdle      = 500 * clock.Millis(1)
+
 	idlePerTarget = 4
-	idleTimeout   = 20 * clock.Second
-	// freshIdle is the idle age up to which a connection may carry a request
-	// that must not be sent twice.
-	freshIdle     = 500 * clock.Millis(1)
 	sweepInterval = 1 * clock.Second
 )
 
+func (p *Pool) dialTimeout() clock.Millis    { return orDefault(p.DialTimeout, DefaultDialTimeout) }
+func (p *Pool) unackedTimeout() clock.Millis { return orDefault(p.UnackedTimeout, DefaultUnackedTimeout) }
+func (p *Pool) idleTimeout() clock.Millis    { return orDefault(p.IdleTimeout, DefaultIdleTimeout) }
+func (p *Pool) freshIdle() clock.Millis      { return orDefault(p.FreshIdle, DefaultFreshIdle) }
+
+func orDefault(v, d clock.Millis) clock.Millis {
+	if v > 0 {
+		return v
+	}
+	return d
+}
+
 // Run starts to close connections that were idle too long.
 func (p *Pool) Run() {
 	p.idle = map[string][]*Conn{}
@@ -51,7 +71,7 @@
 		if c == nil {
 			break
 		}
-		if !c.alive() || (once && p.Clock.Now()-c.idleAt > freshIdle) {
+		if p.stale(c, once) || !c.alive() {
 			_ = c.Close()
 			continue
 		}
@@ -59,7 +79,13 @@
 		c.written.Store(0)
 		return c, nil
 	}
-	return dial(addr)
+	return p.dial(addr)
+}
+
+// stale reports whether c was idle for too long for the next request.
+func (p *Pool) stale(c *Conn, once bool) bool {
+	idle := p.Clock.Now() - c.idleAt
+	return (once && idle > p.freshIdle()) || (c.idleLimit > 0 && idle >= c.idleLimit)
 }
 
 func (p *Pool) take(addr string) *Conn {
@@ -118,7 +144,7 @@
 	now := p.Clock.Now()
 	for a, l := range p.idle {
 		k := 0
-		for k < len(l) && now-l[k].idleAt > idleTimeout {
+		for k < len(l) && now-l[k].idleAt > p.idleTimeout() {
 			_ = l[k].Close()
 			k++
 		}
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -231,3 +231,10 @@
 	}
 	return now - max(p.heardAt, n.ledSince)
 }
+
+// Probe asks the other replicas at once whether this one still leads.
+func (n *Node) Probe(now clock.Millis) {
+	if n.role == Leader {
+		n.broadcast(now)
+	}
+}
--- a/wal/log.go
+++ b/wal/log.go
@@ -228,3 +228,11 @@
 	defer d.Close()
 	return errors.WithStack(d.Sync())
 }
+
+// MakeDir creates a folder that lasts.
+func MakeDir(path string) error {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return errors.Wrap(err, "wal.MakeDir")
+	}
+	return errors.Wrap(syncDir(filepath.Dir(path)), "wal.MakeDir")
+}
