--- a/coordinator/lender.go
+++ b/coordinator/lender.go
@@ -130,14 +130,36 @@
 
 // wants returns what this process's purses want of the leader.
 func (l *lender) wants(now clock.Millis) map[string]int {
-	var w map[string]int
-	for n, p := range l.purses {
-		if k := p.Want(now); k > 0 {
-			if w == nil {
-				w = map[string]int{}
+	return Collect(l.purses, func(p *share.Purse) int { return p.Want(now) })
+}
+
+// takeBack puts tokens back that hosts or other control processes did not
+// spend.
+func (l *lender) takeBack(now clock.Millis, returns map[string]int) {
+	for n, k := range returns {
+		if b := l.buckets[n]; l.leading && b != nil {
+			b.Return(now, k)
+		} else if p := l.purses[n]; p != nil {
+			p.Add(k)
+		}
+	}
+}
+
+// surplus returns the tokens that go back to the leader.
+func (l *lender) surplus(now clock.Millis) map[string]int {
+	return Collect(l.purses, func(p *share.Purse) int { return p.Surplus(now) })
+}
+
+// Collect gathers the numbers that are not zero.
+func Collect[P any](m map[string]P, f func(P) int) map[string]int {
+	var r map[string]int
+	for n, p := range m {
+		if k := f(p); k > 0 {
+			if r == nil {
+				r = map[string]int{}
 			}
-			w[n] = k
+			r[n] = k
 		}
 	}
-	return w
+	return r
 }
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -28,6 +28,8 @@
 	Hosts    uint64
 	// Wants are tokens to borrow ahead, by account.
 	Wants map[string]int
+	// Returns are tokens that were lent and not spent, by account.
+	Returns map[string]int
 }
 
 // ExchangeReply answers ExchangeArgs.
@@ -83,7 +85,8 @@
 	Hosts  []Host
 	// Fleet is the digest of the list that the process holds.
 	Fleet uint64
-	Wants map[string]int
+	// Wants and Returns are tokens to borrow and to give back, by account.
+	Wants, Returns map[string]int
 }
 
 // ReportReply answers ReportArgs.
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -255,6 +255,7 @@
 
 func (r *Replica) exchange(now clock.Millis, a ExchangeArgs) ExchangeReply {
 	r.fleet.heard(now, a.Host)
+	r.lender.takeBack(now, a.Returns)
 	p := ExchangeReply{Known: r.proven, Age: now - r.freshAt, Grants: r.lender.ahead(now, a.Wants)}
 	// A process that is behind must not take a host back to an older state.
 	if !r.proven || a.Sequence > r.state.Sequence {
--- a/coordinator/review.go
+++ b/coordinator/review.go
@@ -110,6 +110,7 @@
 	if f := r.fleet.list(now); f.Digest != a.Fleet {
 		p.Fleet = f
 	}
+	r.lender.takeBack(now, a.Returns)
 	p.Grants = r.lender.ahead(now, a.Wants)
 	if b := r.node.LastBeat(); b.At > 0 {
 		p.Proven, p.Age, p.Sequence = true, now-b.At, b.Mark
@@ -131,6 +132,7 @@
 	p.Args.Wants = r.lender.wants(now)
 	if a := r.leaderAddr(); a != "" {
 		p.To = []string{a}
+		p.Args.Returns = r.lender.surplus(now)
 		return p
 	}
 	p.To = r.others()
--- a/edge/link.go
+++ b/edge/link.go
@@ -178,12 +178,13 @@
 		return false
 	}
 	sent := l.clock.Now()
+	wants, surplus := l.tokens.wants(sent)
 	a := coordinator.ExchangeArgs{
 		Host: coordinator.Host{
 			ID: l.settings.ID, Zone: l.settings.Zone, Callers: l.settings.Callers, Peer: l.settings.Peer,
 			Leaving: l.leaving(),
 		},
-		Sequence: l.state.Sequence, Hosts: l.digest, Wants: l.tokens.wants(sent),
+		Sequence: l.state.Sequence, Hosts: l.digest, Wants: wants, Returns: surplus,
 	}
 	var p coordinator.ExchangeReply
 	if err := l.pool.Get(addr).Call("Peer.Exchange", a, &p, callTimeout); err != nil {
--- a/edge/tokens.go
+++ b/edge/tokens.go
@@ -106,20 +106,13 @@
 	return false, max(p.fallback.Wait(now), minEmpty)
 }
 
-// wants returns the tokens to borrow ahead.
-func (t *tokens) wants(now clock.Millis) map[string]int {
+// wants returns the tokens to borrow ahead, surplus those to give back.
+func (t *tokens) wants(now clock.Millis) (wants, surplus map[string]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var w map[string]int
-	for n, p := range t.accounts {
-		if k := p.Want(now); k > 0 {
-			if w == nil {
-				w = map[string]int{}
-			}
-			w[n] = k
-		}
-	}
-	return w
+	wants = coordinator.Collect(t.accounts, func(p *purse) int { return p.Want(now) })
+	surplus = coordinator.Collect(t.accounts, func(p *purse) int { return p.Surplus(now) })
+	return wants, surplus
 }
 
 // add puts borrowed tokens in.
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -46,6 +46,12 @@
 	return k
 }
 
+// Return puts tokens back that were lent and not spent.
+func (b *Bucket) Return(now clock.Millis, n int) {
+	b.refill(now)
+	b.level = min(b.level+float64(n), max(b.Burst, 1))
+}
+
 // Wait returns the time until a token may be lent.
 func (b *Bucket) Wait(now clock.Millis) clock.Millis {
 	b.refill(now)
--- a/share/purse.go
+++ b/share/purse.go
@@ -7,8 +7,8 @@
 	demandWindow = 500 * clock.Millis(1)
 	// aheadOf is the demand for which tokens are borrowed ahead.
 	aheadOf = 250 * clock.Millis(1)
-	// idleAfter is the time without demand after which tokens are given up.
-	idleAfter = 1500 * clock.Millis(1)
+	// idleAfter is the time without demand after which tokens go back.
+	idleAfter = 500 * clock.Millis(1)
 )
 
 // Purse holds tokens that were borrowed for one account. The most it holds
@@ -61,12 +61,19 @@
 // Want returns the number of tokens to borrow ahead.
 func (p *Purse) Want(now clock.Millis) int {
 	p.decay(now)
-	if now-p.usedAt > idleAfter {
-		p.tokens = 0
+	soon := p.demand * float64(aheadOf) / float64(demandWindow)
+	return max(0, min(int(soon+0.5), p.Ahead)-p.tokens)
+}
+
+// Surplus takes out the tokens that were not wanted for a while: they go
+// back to the lender.
+func (p *Purse) Surplus(now clock.Millis) int {
+	if now-p.usedAt <= idleAfter {
 		return 0
 	}
-	perWindow := p.demand * float64(aheadOf) / float64(demandWindow)
-	return max(0, min(1+int(perWindow), p.Ahead)-p.tokens)
+	n := p.tokens
+	p.tokens = 0
+	return n
 }
 
 // Add puts borrowed tokens in.
