--- a/cmd/carawayrack/deployment.go
+++ b/cmd/carawayrack/deployment.go
@@ -74,6 +74,10 @@
 	if err := h.Run(); err != nil {
 		return command.Fail(err)
 	}
+	y := &platform.Directory{Settings: s, Host: h, Log: l}
+	if err := y.Run(); err != nil {
+		return command.Fail(err)
+	}
 	m := &metricsServer{d.metrics, l, h.ServeState}
 	go m.run()
 	l.Info("started", zap.String("role", "edge"), zap.String("version", version))
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -150,38 +150,9 @@
 	return ""
 }
 
-const (
-	// hostsPerZone is the number of hosts of a zone that callers are sent
-	// to: the fewer, the more each knows of the targets.
-	hostsPerZone = 3
-	maxAddresses = 64
-)
-
-// resolve returns the callers' addresses for a zone.
-func (t *fleetTable) resolve(now clock.Millis, zone string) []string {
-	f := t.list(now)
-	l := t.active(now, f.Hosts, func(h Host) bool { return h.Zone == zone })
-	if len(l) >= 2 {
-		return l
-	}
-	l = append(l, t.active(now, f.Hosts, func(h Host) bool { return h.Zone != zone })...)
-	return l[:min(len(l), maxAddresses)]
-}
-
-// active returns the addresses of the first hosts that fit. Hosts that this
-// process hears itself are known better than the list says.
-func (t *fleetTable) active(now clock.Millis, l []Host, fits func(Host) bool) []string {
-	var r []string
-	for _, h := range l {
-		x := t.hosts[h.ID]
-		gone := x != nil && (x.host.Leaving || now-x.at > hostTimeout)
-		if !fits(h) || gone || len(r) == hostsPerZone {
-			continue
-		}
-		r = append(r, h.Callers)
-	}
-	return r
-}
+// hostsPerZone is the number of hosts of a zone that callers are sent to: the
+// fewer, the more each knows of the targets.
+const hostsPerZone = 3
 
 // Active returns the hosts of a zone that callers are sent to.
 func Active(l []Host, zone string) []Host {
--- a/coordinator/lender.go
+++ b/coordinator/lender.go
@@ -10,12 +10,18 @@
 // ahead for its hosts.
 const purseShare = 0.04
 
+// leaderSilence is the time without an answer of the leader from which hosts
+// are told that nobody lends.
+const leaderSilence = 3 * reportInterval
+
 // lender lends the tokens of client accounts: the leader from buckets, the
 // others from purses that the leader fills.
 type lender struct {
 	buckets map[string]*share.Bucket
 	purses  map[string]*share.Purse
 	leading bool
+	// heardAt is when the leader answered last.
+	heardAt clock.Millis
 	// leader is the address of the leader, empty if there is none.
 	leader string
 }
@@ -93,6 +99,9 @@
 	if w := p.Wait(now); w > 0 {
 		return BorrowReply{Wait: w, Known: true}
 	}
+	if now-l.heardAt > leaderSilence {
+		return BorrowReply{}
+	}
 	return BorrowReply{Leader: l.leader}
 }
 
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -137,7 +137,6 @@
 	}
 	news     struct{ Target catalog.Target }
 	document struct{ Confirmed bool }
-	resolve  struct{ Zone string }
 	proof    struct{ Since clock.Millis }
 	dump     struct{}
 )
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -112,10 +112,5 @@
 	return c.submit(catalog.Change{Targets: []catalog.Target{t}})
 }
 
-// Resolve returns the addresses that callers in a zone should use.
-func (c *Coordinator) Resolve(zone string) ([]string, error) {
-	return ask[[]string](c, &resolve{zone})
-}
-
 // State returns the state of the process for a person.
 func (c *Coordinator) State() (Dump, error) { return ask[Dump](c, &dump{}) }
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -106,8 +106,6 @@
 		c.Respond(newsReply{News: r.state.News(m.Target), Known: r.state.Targets[m.Target.ID], Core: r.fleet.core(m.Target.Zone)})
 	case *document:
 		c.Respond(heldDocument{Version: r.state.Version, Document: r.state.Document})
-	case *resolve:
-		c.Respond(r.fleet.resolve(now, m.Zone))
 	case *proof:
 		r.readers = append(r.readers, &reader{sender: c.Sender(), since: m.Since})
 		if r.node.Role() == replica.Leader {
@@ -126,7 +124,7 @@
 	r.lender = &lender{}
 	r.lender.run()
 	r.node = &replica.Node{
-		ID: r.ID, ElectionTimeout: electionTimeout, Heartbeat: heartbeat, CompactAfter: compactAfter,
+		ID: r.ID, ElectionTimeout: electionTimeout, Heartbeat: heartbeat, CompactAfter: compactAfter, FirstElection: firstElection,
 		Random: rand.IntN, Storage: r.Storage, Apply: r.apply, Capture: r.capture, Restore: r.restore,
 		Mark:     func() uint64 { return r.state.Sequence },
 		Violated: r.Failed,
--- a/coordinator/review.go
+++ b/coordinator/review.go
@@ -163,6 +163,7 @@
 		return
 	}
 	r.fleet.held = p.Held
+	r.lender.heardAt = now
 	if p.Fleet != nil {
 		r.fleet.told = p.Fleet
 	}
--- a/coordinator/settings.go
+++ b/coordinator/settings.go
@@ -24,10 +24,12 @@
 // Timing of the control processes.
 const (
 	electionTimeout = 800 * clock.Millis(1)
-	heartbeat       = 200 * clock.Millis(1)
-	compactAfter    = 512
-	tickInterval    = 25 * clock.Millis(1)
-	reportInterval  = 200 * clock.Millis(1)
+	// firstElection is the shortest silence after a start.
+	firstElection  = 250 * clock.Millis(1)
+	heartbeat      = 200 * clock.Millis(1)
+	compactAfter   = 512
+	tickInterval   = 25 * clock.Millis(1)
+	reportInterval = 200 * clock.Millis(1)
 	// hostTimeout is the silence after which a host is not given out to
 	// callers any more.
 	hostTimeout = 1500 * clock.Millis(1)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -36,6 +36,33 @@
 	return len(v.active())
 }
 
+const (
+	// minAddresses is the number of addresses that callers should have to
+	// choose from.
+	minAddresses = 2
+	maxAddresses = 64
+)
+
+// Resolve returns the addresses that callers in a zone should use: those of
+// their zone, and others where these are few.
+func (h *Host) Resolve(zone string) []string {
+	h.view.mu.Lock()
+	defer h.view.mu.Unlock()
+	var l []string
+	for _, x := range coordinator.Active(h.view.fleet.Hosts, zone) {
+		l = append(l, x.Callers)
+	}
+	if len(l) >= minAddresses {
+		return l
+	}
+	for _, x := range h.view.active() {
+		if x.Zone != zone && len(l) < maxAddresses {
+			l = append(l, x.Callers)
+		}
+	}
+	return l
+}
+
 func (v *view) changedEvidence(now clock.Millis) []balance.Evidence {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/edge/tokens.go
+++ b/edge/tokens.go
@@ -49,7 +49,8 @@
 	p := t.accounts[a.Name]
 	if p == nil {
 		p = &purse{}
-		p.fallback.Run(now, 0)
+		p.fallback.Burst = 1
+		p.fallback.Run(now, 1)
 		t.accounts[a.Name] = p
 	}
 	p.Ahead = 1 + int(a.Rate*purseShare)
--- a/replica/node.go
+++ b/replica/node.go
@@ -29,6 +29,10 @@
 	// for election, and the longest time a leader goes on unheard.
 	ElectionTimeout clock.Millis
 	Heartbeat       clock.Millis
+	// FirstElection is the shortest silence after a start, if it is set: then
+	// a restarted replica votes at once. It must be left unset where proofs
+	// of leadership count beyond the time of their round.
+	FirstElection clock.Millis
 	// CompactAfter is the number of applied entries between snapshots.
 	CompactAfter int
 	// Random returns a number in [0, n).
@@ -87,6 +91,12 @@
 	// A restarted replica may have confirmed a leader just before.
 	n.heardAt = now
 	n.resetDeadline(now)
+	if n.FirstElection > 0 {
+		// Nothing here relies on a leader's lease, so that a restarted
+		// replica may vote at once.
+		n.heardAt = now - n.ElectionTimeout
+		n.deadline = now + n.FirstElection + clock.Millis(n.Random(int(n.FirstElection)))
+	}
 }
 
 // Role returns the current role.
