--- a/balance/pool.go
+++ b/balance/pool.go
@@ -283,6 +283,14 @@
 	p.judge(now, t, r)
 }
 
+// Overdue notes that a target has not answered a request in the usual time.
+func (p *Pool) Overdue(now clock.Millis, id string) {
+	if t := p.targets[id]; t != nil {
+		t.fail(now, 1)
+		t.changed = true
+	}
+}
+
 func (p *Pool) judge(now clock.Millis, t *target, r Result) {
 	switch r.Outcome {
 	case Served:
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -38,6 +38,8 @@
 	leaders sync.Map
 	stopped chan struct{}
 	failed  chan error
+	// kicks asks for a report at once.
+	kicks chan struct{}
 }
 
 // restartDelay is the pause before a replica whose disk failed starts over.
@@ -48,6 +50,7 @@
 	c.clock = clock.Boot()
 	c.stopped = make(chan struct{})
 	c.failed = make(chan error, 1)
+	c.kicks = make(chan struct{}, 1)
 	c.pool = &wire.Pool{Secret: c.Settings.Secret}
 	c.outbox = &wire.Outbox[replica.Message]{Pool: c.pool, Method: "Peer.Deliver"}
 	c.actors = logs.Actors(c.Log)
@@ -130,7 +133,7 @@
 	return &Replica{
 		ID: id, Settings: c.Settings, Clock: c.clock, Log: c.Log, Stored: d, Translate: c.Translate,
 		Storage: replica.Storage{Save: c.save, SaveSnapshot: c.saveSnapshot},
-		Send:    c.send, Failed: c.fail,
+		Send:    c.send, Failed: c.fail, LeaderChanged: c.kick,
 		Respond: func(p *actor.PID, m any) { c.actors.Root.Send(p, m) },
 	}
 }
@@ -233,12 +236,21 @@
 	}
 }
 
+// kick asks for a report at once.
+func (c *Coordinator) kick() {
+	select {
+	case c.kicks <- struct{}{}:
+	default:
+	}
+}
+
 // reportLoop talks to the leader.
 func (c *Coordinator) reportLoop() {
 	for {
 		select {
 		case <-c.stopped:
 			return
+		case <-c.kicks:
 		case <-time.After(reportInterval.Duration()):
 		}
 		p, err := ask[prepared](c, &prepare{})
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -25,6 +25,8 @@
 	Send func([]replica.Message, replica.Members)
 	// Failed is called when the replica must start over.
 	Failed func(error)
+	// LeaderChanged is called when another replica leads.
+	LeaderChanged func()
 	// Respond answers a waiting actor.
 	Respond func(*actor.PID, any)
 
@@ -41,6 +43,7 @@
 	fleet   *fleetTable
 	lender  *lender
 	seen    replica.Role
+	leader  string
 }
 
 // appliedChange is a recent change for updates.
@@ -148,6 +151,12 @@
 	if m := r.node.Take(); len(m) > 0 {
 		r.Send(m, r.node.Members())
 	}
+	if l := r.node.LeaderID(); l != r.leader {
+		r.leader = l
+		if l != "" {
+			r.LeaderChanged()
+		}
+	}
 	if role := r.node.Role(); role != r.seen {
 		r.Log.Info("role", zap.String("role", string(role)), zap.Uint64("term", r.node.Term()), zap.String("replica", r.ID))
 		r.seen = role
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -1,10 +1,13 @@
 package edge
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -34,37 +37,116 @@
 	choice   balance.Choice
 	exchange *forward.Exchange
 	started  clock.Millis
+	context  context.Context
+	cancel   context.CancelFunc
 	response *http.Response
 	body     []byte
+	// overtaken is set before an attempt is given up for another one.
+	overtaken atomic.Bool
+	// Without a failure there is a whole answer; again tells whether another
+	// target may be tried.
+	failure *refusal
+	again   bool
 }
 
-// run sends the request to targets until it is answered. The refusal is nil
+// send sends the request to targets until it is answered. The refusal is nil
 // if there is a whole answer of a target.
-func (c *call) run() (*attempt, *refusal) {
+func (c *call) send() (*attempt, *refusal) {
 	c.host.view.first(c.start, c.service)
-	var x *refusal
+	done := make(chan *attempt, maxInFlight)
+	var running []*attempt
+	a, x := c.try(nil)
+	if x != nil {
+		return nil, x
+	}
+	running = append(running, a)
+	go a.run(done)
+	patience := time.NewTimer(c.patience())
+	defer patience.Stop()
+	var best *attempt
 	for {
-		a, r := c.try(x)
-		if r != nil {
-			return nil, r
-		}
-		var again bool
-		if x, again = a.run(); x == nil {
-			if !again || !c.mayRetry() {
-				return a, nil
-			}
-			x = &refusal{TargetFailed, http.StatusBadGateway, 0, "status " + strconv.Itoa(a.response.StatusCode)}
-			if b, r := c.try(x); r == nil {
-				if y, _ := b.run(); y == nil {
-					return b, nil
-				}
+		select {
+		case <-patience.C:
+			c.host.overdue(c.service, running[len(running)-1])
+			if b := c.second(nil); b != nil {
+				running = append(running, b)
+				go b.run(done)
 			}
+			continue
+		case a = <-done:
+		}
+		running = without(running, a)
+		if a.failure == nil && !a.again {
+			overtake(running)
 			return a, nil
 		}
-		if !again || !c.mayRetry() {
-			return nil, x
+		if a.failure == nil {
+			best = a
+		}
+		x = a.reason()
+		if b := c.second(a); b != nil {
+			running = append(running, b)
+			go b.run(done)
+		}
+		if len(running) > 0 {
+			continue
+		}
+		if best != nil {
+			return best, nil
+		}
+		return nil, x
+	}
+}
+
+// maxInFlight bounds the attempts of one call that may be under way.
+const maxInFlight = 8
+
+// second starts another attempt if that is allowed; after is the attempt that
+// has failed, nil if one is only slow.
+func (c *call) second(after *attempt) *attempt {
+	if after == nil && !c.idempotent() || after != nil && !after.again || !c.mayRetry() {
+		return nil
+	}
+	b, x := c.try(after)
+	if x != nil {
+		return nil
+	}
+	return b
+}
+
+func without(l []*attempt, a *attempt) []*attempt {
+	r := l[:0]
+	for _, x := range l {
+		if x != a {
+			r = append(r, x)
 		}
 	}
+	return r
+}
+
+// overtake gives attempts up since another one was faster.
+func overtake(l []*attempt) {
+	for _, a := range l {
+		a.overtaken.Store(true)
+		a.cancel()
+	}
+}
+
+// reason is why an attempt did not settle the call.
+func (a *attempt) reason() *refusal {
+	if a.failure != nil {
+		return a.failure
+	}
+	return &refusal{TargetFailed, http.StatusBadGateway, 0, "status " + strconv.Itoa(a.response.StatusCode)}
+}
+
+// patience is how long the first target may take before it counts as slow.
+func (c *call) patience() time.Duration {
+	typical := c.host.view.typical(c.service)
+	if typical == 0 {
+		return c.left().Duration()
+	}
+	return (patienceFactor*typical + patienceMin).Duration()
 }
 
 // mayRetry reports whether one more target may be tried.
@@ -72,15 +154,15 @@
 	if c.context.Err() != nil || c.left() <= 0 || !c.repeatable() {
 		return false
 	}
-	limit := max(c.route.Attempts, 1)
-	if c.sent >= limit {
+	unsent := int(c.unsent.Load())
+	if c.sent-unsent >= max(c.route.Attempts, 1) || c.sent >= maxInFlight {
 		return false
 	}
-	return c.sent == 0 || c.host.view.again(c.service)
+	return c.sent == unsent || c.host.view.again(c.service)
 }
 
-// try chooses a target; last is why the one before failed.
-func (c *call) try(last *refusal) (*attempt, *refusal) {
+// try chooses a target; last is the attempt before.
+func (c *call) try(last *attempt) (*attempt, *refusal) {
 	now := c.host.Clock.Now()
 	ask := balance.Ask{
 		Repeatable: c.idempotent() && len(c.tried) == 0,
@@ -90,37 +172,42 @@
 	}
 	h, ok := c.host.view.pick(now, c.service, ask)
 	if !ok && last != nil {
-		return nil, last
+		return nil, last.reason()
 	}
 	if !ok {
 		return nil, &refusal{TargetsFull, http.StatusServiceUnavailable, retryFull, "service " + c.service}
 	}
 	c.tried = append(c.tried, h.ID)
+	c.sent++
 	c.host.gossip.changed()
-	return &attempt{call: c, choice: h, started: now}, nil
+	a := &attempt{call: c, choice: h, started: now}
+	a.context, a.cancel = context.WithCancel(c.context)
+	return a, nil
 }
 
 // retryFull is when callers should come back to a service without room.
 const retryFull = 300 * clock.Millis(1)
 
-// run tries one target. Without a refusal there is a whole answer; again
+// run tries the target and tells the call.
+func (a *attempt) run(done chan<- *attempt) {
+	defer a.cancel()
+	a.failure, a.again = a.settle()
+	done <- a
+}
+
+// settle tries the target. Without a refusal there is a whole answer; again
 // tells whether another target may be tried.
-func (a *attempt) run() (x *refusal, again bool) {
+func (a *attempt) settle() (x *refusal, again bool) {
 	c := a.call
 	a.exchange = &forward.Exchange{
 		Pool: c.host.conns, Addr: a.choice.Addr, Request: c.outgoing(a.choice.ID),
 		Once: !c.idempotent(), Deadline: c.deadline(c.end + answerMargin),
 		Foreign: a.foreign, Unframed: true,
 	}
-	typical := c.host.view.typical(c.service)
-	if c.idempotent() && c.sent+1 < c.route.Attempts && typical > 0 {
-		a.exchange.FirstByte = patienceFactor*typical + patienceMin
-	}
-	r, err := a.exchange.Run(c.context)
+	r, err := a.exchange.Run(a.context)
 	if err != nil {
 		return a.failed(err.(*forward.Failure))
 	}
-	c.sent++
 	a.response = r
 	if r.Header.Get(c.host.Headers.NotRun) != "" {
 		a.end(balance.Shed)
@@ -130,7 +217,7 @@
 		a.end(balance.Misdirected)
 		return &refusal{TargetFailed, http.StatusServiceUnavailable, retryFull, a.choice.ID + " is not at its address"}, true
 	}
-	c.mayHaveRun = true
+	c.mayHaveRun.Store(true)
 	return a.read()
 }
 
@@ -145,16 +232,16 @@
 	c := a.call
 	if f.NotRun {
 		if f.Outcome == slots.Cancelled {
-			a.end(balance.Cancelled)
+			a.end(a.givenUp())
 			return &refusal{CallerLeft, http.StatusServiceUnavailable, 0, "before the request was sent"}, false
 		}
+		c.unsent.Add(1)
 		a.end(balance.Unreached)
 		return &refusal{NoTarget, http.StatusServiceUnavailable, retryFull, f.Error()}, true
 	}
-	c.sent++
-	c.mayHaveRun = true
+	c.mayHaveRun.Store(true)
 	if f.Outcome == slots.Cancelled {
-		a.end(balance.Cancelled)
+		a.end(a.givenUp())
 		return &refusal{CallerLeft, http.StatusBadGateway, 0, "while a target was at work"}, false
 	}
 	if f.Outcome == slots.TimedOut || f.Outcome == slots.SilentConnection {
@@ -165,6 +252,14 @@
 	return &refusal{TargetFailed, http.StatusBadGateway, 0, f.Error()}, c.idempotent()
 }
 
+// givenUp is the outcome of an attempt that was cancelled.
+func (a *attempt) givenUp() balance.Outcome {
+	if a.overtaken.Load() {
+		return balance.TimedOut
+	}
+	return balance.Cancelled
+}
+
 // Garbled is the error of an answer that is not a target's answer to the
 // request.
 type Garbled struct{ What string }
@@ -180,8 +275,8 @@
 		err = a.check()
 	}
 	if err != nil {
-		if c.context.Err() != nil {
-			a.end(balance.Cancelled)
+		if a.context.Err() != nil {
+			a.end(a.givenUp())
 			return &refusal{CallerLeft, http.StatusBadGateway, 0, "while a target was at work"}, false
 		}
 		a.end(balance.Broken)
--- a/edge/call.go
+++ b/edge/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/carawayrack/carawayrack/catalog"
@@ -40,10 +41,11 @@
 	body    []byte
 	rest    io.Reader
 	length  int64
-	// sent counts the targets that the request was sent to, mayHaveRun is
-	// true once one of them may have begun to run it.
+	// sent counts the attempts and unsent those that found no connection;
+	// mayHaveRun is true once a target may have begun to run the request.
 	sent       int
-	mayHaveRun bool
+	unsent     atomic.Int32
+	mayHaveRun atomic.Bool
 	tried      []string
 }
 
--- a/edge/host.go
+++ b/edge/host.go
@@ -143,7 +143,7 @@
 		return
 	}
 	c.service = h.view.part(c.route)
-	a, x := c.run()
+	a, x := c.send()
 	if x != nil {
 		c.refuse(x)
 		return
@@ -151,9 +151,15 @@
 	c.deliver(a)
 }
 
+// overdue notes that a target has not answered in the usual time.
+func (h *Host) overdue(service string, a *attempt) {
+	h.view.overdue(h.Clock.Now(), service, a.choice.ID)
+	h.gossip.alarm(service, a.choice.ID)
+}
+
 // refuse answers for the host.
 func (c *call) refuse(x *refusal) {
-	if c.mayHaveRun && !c.idempotent() && promises(x.status) {
+	if c.mayHaveRun.Load() && !c.idempotent() && promises(x.status) {
 		x.status, x.retryAfter = http.StatusBadGateway, 0
 	}
 	c.host.metrics.refusals.Add(string(x.reason), 1)
--- a/edge/view.go
+++ b/edge/view.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/carawayrack/carawayrack/balance"
@@ -24,6 +25,8 @@
 	fleet   *coordinator.Fleet
 	pools   map[string]*balance.Pool
 	budgets map[string]*share.Retry
+	// zonesOut are the zones that get no new work.
+	zonesOut map[string]bool
 }
 
 func (v *view) run() {
@@ -56,6 +59,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.config = s.Config
+	v.zonesOut = maps.Clone(s.ZonesOut)
 	by := map[string][]catalog.Target{}
 	for _, t := range s.Targets {
 		by[t.Service] = append(by[t.Service], t)
@@ -159,6 +163,13 @@
 	v.pool(service).Done(now, id, r)
 }
 
+// overdue notes that a target has not answered in the usual time.
+func (v *view) overdue(now clock.Millis, service, id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.pool(service).Overdue(now, id)
+}
+
 // first counts a request for the budget of retries.
 func (v *view) first(now clock.Millis, service string) {
 	v.mu.Lock()
