Count an answer as evidence for the time its request was sent

Ruled out: new connections (reused ones fail alike). Change: the age of evidence counts from the sending; a request that is under way for 10 ms without a reset is evidence too.

--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -77,7 +77,7 @@
 func (t *target) evidence(now clock.Millis) Evidence {
 	return Evidence{
 		Key: t.key, Busy: uint8(min(t.mine, 255)), Lacks: uint8(t.lacks),
-		OKAge: age(now, t.okAt), FailAge: age(now, t.failAt),
+		OKAge: age(now, t.seenAt(now)), FailAge: age(now, t.failAt),
 	}
 }
 
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -160,7 +160,7 @@
 	if t == nil {
 		return Choice{}, false
 	}
-	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Probe: t.lacks > 0, Busy: t.busy(now), Age: now - t.okAt}
+	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Probe: t.lacks > 0, Busy: t.busy(now), Age: now - t.seenAt(now)}
 	t.mine++
 	t.changed = true
 	t.starts = append(t.starts, now)
@@ -216,7 +216,7 @@
 	// costUnknown is the risk of a target not heard from, costAge how fast
 	// the risk grows after an answer, a second.
 	costUnknown  = 0.28
-	costAge      = 0.095
+	costAge      = 0.13
 	costBusy     = 0.01
 	costNearFull = 0.02
 	costQueued   = 0.25
@@ -259,10 +259,12 @@
 		return costSick
 	case t.lacks > 0:
 		return costSuspect
-	case t.okAt == 0:
+	}
+	at := t.seenAt(now)
+	if at == 0 {
 		return costUnknown
 	}
-	return min(costUnknown, costAge*float64(now-t.okAt)/float64(clock.Second))
+	return min(costUnknown, costAge*float64(now-at)/float64(clock.Second))
 }
 
 // Done notes how a request ended that Pick had counted.
@@ -298,7 +300,7 @@
 			t.refused = false
 			t.coldUntil = max(t.coldUntil, now+p.Service.WarmUp)
 		}
-		t.succeed(now)
+		t.succeed(now - r.Took)
 		p.timed(t, float64(r.Took))
 	case Failed:
 		t.fail(now, min(t.fails+1, trustedAfter))
--- a/balance/target.go
+++ b/balance/target.go
@@ -87,9 +87,13 @@
 	return len(t.starts)
 }
 
-// succeed notes an answer.
-func (t *target) succeed(now clock.Millis) {
-	t.okAt = max(t.okAt, now)
+// succeed notes an answer to a request that was sent at a time: it tells
+// nothing of failures since then.
+func (t *target) succeed(sentAt clock.Millis) {
+	t.okAt = max(t.okAt, sentAt)
+	if sentAt <= t.failAt {
+		return
+	}
 	t.fails = 0
 	if t.lacks > 0 {
 		t.lacks--
@@ -97,6 +101,27 @@
 	t.retryAt = 0
 }
 
+// acceptedAfter is the time without a failure after which a request that is
+// under way counts as taken by its target.
+const acceptedAfter = 10 * clock.Millis(1)
+
+// seenAt is the time at which the target was last known to take a request.
+func (t *target) seenAt(now clock.Millis) clock.Millis {
+	at := t.okAt
+	if t.lacks > 0 || t.mine == 0 {
+		return at
+	}
+	for i := len(t.starts) - 1; i >= 0; i-- {
+		if s := t.starts[i]; now-s >= acceptedAfter {
+			if s > t.failAt {
+				at = max(at, s)
+			}
+			break
+		}
+	}
+	return at
+}
+
 // fail notes a failure; lacks is the number of answers that clear it.
 func (t *target) fail(now clock.Millis, lacks int) {
 	t.failAt = max(t.failAt, now)
