Clear a target only by answers that were sent after its failure was known

Cause: another host's older count of missing answers cleared a sick target: one target was hit by resets five times in two seconds. Ruled out: probes that pass by luck (two in a row pass in 2 % of the spells).

--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -16,7 +16,10 @@
 }
 
 const (
-	never        = 0xffff
+	never = 0xffff
+	// sameTime is the difference of ages below which two hosts may have seen
+	// the same moment.
+	sameTime     = 5 * clock.Millis(1)
 	evidenceSize = 10
 )
 
@@ -95,10 +98,10 @@
 		}
 	}
 	if e.OKAge != never {
-		if at := now - clock.Millis(e.OKAge); at > t.okAt && at > t.failAt {
+		if at := now - clock.Millis(e.OKAge); at > t.okAt && at > t.failAt+sameTime {
 			t.okAt = at
-			if t.lacks > int(e.Lacks) {
-				t.lacks = int(e.Lacks)
+			if t.lacks > 0 {
+				t.lacks--
 			}
 		}
 	}
