--- a/balance/pool.go
+++ b/balance/pool.go
@@ -37,6 +37,9 @@
 	Spare bool
 	// Bulky requests are dear to send to another zone.
 	Bulky bool
+	// Patient requests rather wait for room than go to a target that is
+	// likely to fail them.
+	Patient bool
 	// Avoid are the targets that were tried.
 	Avoid []string
 }
@@ -53,8 +56,9 @@
 }
 
 // queueBeyond is the number of requests that a target holds beyond its slots
-// before no more are sent there.
-const queueBeyond = 4
+// before no more are sent there: the rest waits where it can go to the target
+// that has room first.
+const queueBeyond = 2
 
 // Run prepares the pool.
 func (p *Pool) Run() {
@@ -154,10 +158,11 @@
 	if a.Repeatable && a.Spare {
 		t = p.probe(now, a)
 	}
+	cost := 0.0
 	if t == nil {
-		t = p.cheapest(now, a)
+		t, cost = p.cheapest(now, a)
 	}
-	if t == nil {
+	if t == nil || a.Patient && cost >= costSick {
 		return Choice{}, false
 	}
 	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Probe: t.lacks > 0, Busy: t.busy(now), Age: now - t.seenAt(now)}
@@ -194,9 +199,7 @@
 }
 
 // cheapest returns the usable target with the lowest cost.
-func (p *Pool) cheapest(now clock.Millis, a Ask) *target {
-	var best *target
-	low := 0.0
+func (p *Pool) cheapest(now clock.Millis, a Ask) (best *target, low float64) {
 	for _, t := range p.order {
 		if !p.usable(now, t, a) {
 			continue
@@ -206,7 +209,7 @@
 			best, low = t, c
 		}
 	}
-	return best
+	return best, low
 }
 
 // The parts of a target's cost, in shares of a request's worth.
@@ -217,8 +220,8 @@
 	// the risk grows after an answer, a second.
 	costUnknown  = 0.28
 	costAge      = 0.13
-	costBusy     = 0.01
-	costNearFull = 0.02
+	costBusy     = 0.02
+	costNearFull = 0.04
 	costQueued   = 0.25
 	costZone     = 0.06
 	costBulky    = 0.6
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -170,7 +170,11 @@
 		Bulky:      c.route.Kind == catalog.Upload,
 		Avoid:      c.tried,
 	}
-	h, ok := c.host.view.pick(now, c.service, ask)
+	h, ok := c.host.await(c.context, &place{
+		service: c.service, ask: ask, waiter: balance.Waiter{Priority: c.priority(), Since: c.start},
+		until: now + min(c.route.Objective/2, c.left()/2),
+	})
+	now = c.host.Clock.Now()
 	if !ok && last != nil {
 		return nil, last.reason()
 	}
--- a/edge/call.go
+++ b/edge/call.go
@@ -52,6 +52,14 @@
 // idempotent reports whether the request may run more than once.
 func (c *call) idempotent() bool { return c.route.Kind == catalog.Idempotent }
 
+// priority is the rank of the request: the account's goes before the route's.
+func (c *call) priority() int {
+	if c.account != nil && c.account.Priority >= 0 {
+		return c.account.Priority
+	}
+	return c.route.Priority
+}
+
 func (c *call) left() clock.Millis { return c.end - c.host.Clock.Now() }
 
 // admit decides whether the request may go on; nil if so.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -96,8 +96,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, e := range l {
-		for _, p := range v.pools {
+		for n, p := range v.pools {
 			if p.Learn(now, host, e) {
+				v.queue(n).Wake()
 				break
 			}
 		}
--- a/edge/view.go
+++ b/edge/view.go
@@ -25,6 +25,7 @@
 	fleet   *coordinator.Fleet
 	pools   map[string]*balance.Pool
 	budgets map[string]*share.Retry
+	queues  map[string]*balance.Queue
 	// zonesOut are the zones that get no new work.
 	zonesOut map[string]bool
 }
@@ -32,6 +33,7 @@
 func (v *view) run() {
 	v.pools = map[string]*balance.Pool{}
 	v.budgets = map[string]*share.Retry{}
+	v.queues = map[string]*balance.Queue{}
 	v.fleet = &coordinator.Fleet{}
 }
 
@@ -144,14 +146,6 @@
 	return r.Parts[0].Service
 }
 
-// pick chooses a target and tells how the retries stand.
-func (v *view) pick(now clock.Millis, service string, a balance.Ask) (balance.Choice, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	a.Spare = a.Spare && v.budget(service).Left() >= spareRetries
-	return v.pool(service).Pick(now, a)
-}
-
 // spareRetries is what must be left of the budget before requests are used
 // to try targets that are not trusted.
 const spareRetries = 2
@@ -161,6 +155,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.pool(service).Done(now, id, r)
+	v.queue(service).Wake()
 }
 
 // overdue notes that a target has not answered in the usual time.
