--- a/balance/pool.go
+++ b/balance/pool.go
@@ -26,7 +26,8 @@
 	byKey    map[uint32]*target
 	zonesOut map[string]bool
 	typical  float64
-	probes   float64
+	// trusted is true if any target is trusted.
+	trusted bool
 }
 
 // Ask describes a request that needs a target.
@@ -37,9 +38,6 @@
 	Spare bool
 	// Bulky requests are dear to send to another zone.
 	Bulky bool
-	// Patient requests rather wait for room than go to a target that is
-	// likely to fail them.
-	Patient bool
 	// Avoid are the targets that were tried.
 	Avoid []string
 }
@@ -138,9 +136,40 @@
 	if t.busy(now) >= t.slots()+queueBeyond {
 		return false
 	}
+	if t.lacks > 0 && !p.bears(now, t, a) {
+		return false
+	}
 	return !t.cold(now) || p.coldRoom(now, t)
 }
 
+// unsafeLacks is the number of missing answers up to which a target gets
+// requests that may not be repeated.
+const unsafeLacks = 2
+
+// bears reports whether a target that is not trusted gets one more request:
+// each answer lets in one more at a time, and only from hosts of its zone,
+// which know of each other's. Without any trusted target all are tried.
+func (p *Pool) bears(now clock.Millis, t *target, a Ask) bool {
+	if !p.trusted {
+		return true
+	}
+	if t.Zone != p.Zone || t.busy(now) > trustedAfter-t.lacks {
+		return false
+	}
+	return a.Repeatable || t.lacks <= unsafeLacks
+}
+
+// review finds out whether any target is trusted.
+func (p *Pool) review() {
+	p.trusted = false
+	for _, t := range p.order {
+		if t.lacks == 0 && t.Phase == catalog.Serving && !t.gone && !p.zonesOut[t.Zone] {
+			p.trusted = true
+			return
+		}
+	}
+}
+
 // coldRoom reports whether a cold target bears one more request now. Only the
 // hosts of its own zone use it, each its part.
 func (p *Pool) coldRoom(now clock.Millis, t *target) bool {
@@ -154,15 +183,15 @@
 // Pick chooses a target and counts the request there; Done must follow. It
 // reports false if no target has room.
 func (p *Pool) Pick(now clock.Millis, a Ask) (Choice, bool) {
+	p.review()
 	var t *target
 	if a.Repeatable && a.Spare {
 		t = p.probe(now, a)
 	}
-	cost := 0.0
 	if t == nil {
-		t, cost = p.cheapest(now, a)
+		t = p.cheapest(now, a)
 	}
-	if t == nil || a.Patient && cost >= costSick {
+	if t == nil {
 		return Choice{}, false
 	}
 	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Probe: t.lacks > 0, Busy: t.busy(now), Age: now - t.seenAt(now)}
@@ -199,7 +228,9 @@
 }
 
 // cheapest returns the usable target with the lowest cost.
-func (p *Pool) cheapest(now clock.Millis, a Ask) (best *target, low float64) {
+func (p *Pool) cheapest(now clock.Millis, a Ask) *target {
+	var best *target
+	low := 0.0
 	for _, t := range p.order {
 		if !p.usable(now, t, a) {
 			continue
@@ -209,13 +240,12 @@
 			best, low = t, c
 		}
 	}
-	return best, low
+	return best
 }
 
 // The parts of a target's cost, in shares of a request's worth.
 const (
-	costSick    = 0.8
-	costSuspect = 0.35
+	costSick = 0.8
 	// costUnknown is the risk of a target not heard from, costAge how fast
 	// the risk grows after an answer, a second.
 	costUnknown  = 0.28
@@ -230,6 +260,10 @@
 	costSlowMost = 0.5
 )
 
+// costLacks is the risk of a target by the answers that it lacks: each answer
+// in a row makes it less likely that the spell goes on.
+var costLacks = [trustedAfter + 1]float64{0, 0.06, 0.17, 0.45, costSick}
+
 func (p *Pool) cost(now clock.Millis, t *target, a Ask) float64 {
 	c := p.risk(now, t)
 	b, s := t.busy(now), t.slots()
@@ -257,11 +291,8 @@
 
 // risk is the chance that the target fails the next request.
 func (p *Pool) risk(now clock.Millis, t *target) float64 {
-	switch {
-	case t.lacks >= trustedAfter:
-		return costSick
-	case t.lacks > 0:
-		return costSuspect
+	if t.lacks > 0 {
+		return costLacks[min(t.lacks, trustedAfter)]
 	}
 	at := t.seenAt(now)
 	if at == 0 {
@@ -306,7 +337,7 @@
 		t.succeed(now - r.Took)
 		p.timed(t, float64(r.Took))
 	case Failed:
-		t.fail(now, min(t.fails+1, trustedAfter))
+		t.fail(now, min(t.fails+2, trustedAfter))
 	case Broken, TimedOut:
 		t.fail(now, trustedAfter)
 	case Unreached:
--- a/balance/target.go
+++ b/balance/target.go
@@ -9,7 +9,7 @@
 	// firstRetry and lastRetry bound the pause before a sick target is tried
 	// again with a request that may be repeated.
 	firstRetry = 250 * clock.Millis(1)
-	lastRetry  = 2 * clock.Second
+	lastRetry  = 1 * clock.Second
 	// trustedAfter is the number of answers in a row that clear a target
 	// whose connection broke.
 	trustedAfter = 4
--- a/edge/wait.go
+++ b/edge/wait.go
@@ -51,7 +51,6 @@
 	a := p.ask
 	a.Spare = a.Spare && v.budget(p.service).Left() >= spareRetries
 	over = now >= p.until
-	a.Patient = !over
 	if over || q.Turn(&p.waiter) {
 		x, ok = v.pool(p.service).Pick(now, a)
 	}
