--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 
+	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 )
 
@@ -68,6 +69,45 @@
 	return l
 }
 
+// Digest returns the evidence on all targets of the own zone, with the number
+// of requests that they are known to hold.
+func (p *Pool) Digest(now clock.Millis) []Evidence {
+	var l []Evidence
+	for _, t := range p.order {
+		if t.Zone == p.Zone && t.Phase == catalog.Serving {
+			e := t.evidence(now)
+			e.Busy = uint8(min(t.busy(now), 255))
+			l = append(l, e)
+		}
+	}
+	return l
+}
+
+// From reports whether evidence is on a target of a zone.
+func (p *Pool) From(e Evidence, zone string) bool {
+	t := p.byKey[e.Key]
+	return t != nil && t.Zone == zone
+}
+
+// Adopt takes over what a host of another zone says of a target of its zone:
+// it sees more of it than this one.
+func (p *Pool) Adopt(now clock.Millis, host string, e Evidence) bool {
+	t := p.byKey[e.Key]
+	if t == nil || t.Zone == p.Zone {
+		return t != nil
+	}
+	defer p.believe(now, t, t.lacks == 0, Broken, host)
+	t.peers[host] = peerCount{int(e.Busy), now}
+	t.lacks = int(e.Lacks)
+	if e.OKAge != never {
+		t.okAt = max(t.okAt, now-clock.Millis(e.OKAge))
+	}
+	if e.FailAge != never {
+		t.failAt = max(t.failAt, now-clock.Millis(e.FailAge))
+	}
+	return true
+}
+
 // Of returns the evidence on one target.
 func (p *Pool) Of(now clock.Millis, id string) (Evidence, bool) {
 	t := p.targets[id]
@@ -92,6 +132,7 @@
 		return false
 	}
 	t.peers[host] = peerCount{int(e.Busy), now}
+	defer p.believe(now, t, t.lacks == 0, Broken, host)
 	if e.FailAge != never {
 		if at := now - clock.Millis(e.FailAge); at > t.failAt && at > t.okAt {
 			t.fail(at, max(int(e.Lacks), 1))
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -26,6 +26,14 @@
 	Cancelled
 )
 
+var outcomeNames = [...]string{
+	Served: "served", Failed: "failed", Broken: "broken", TimedOut: "timedOut",
+	Unreached: "unreached", Shed: "shed", Misdirected: "misdirected", Cancelled: "cancelled",
+}
+
+// String returns the name of the outcome in logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Load is what a target says of its load in an answer.
 type Load struct {
 	Known                   bool
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -18,8 +18,8 @@
 	Hosts int
 	// Service holds the limits of the targets' cold start.
 	Service catalog.Service
-	// Random returns a number in [0, n).
-	Random func(n int) int
+	// Believe is told when a target gains or loses trust, and why.
+	Believe func(now clock.Millis, b Belief)
 
 	targets  map[string]*target
 	order    []*target
@@ -30,6 +30,18 @@
 	trusted bool
 }
 
+// Belief is a change of what the host believes of a target.
+type Belief struct {
+	Target  string
+	Trusted bool
+	// Cause is the outcome that led to it, Host the host that saw it, empty
+	// for this one.
+	Cause Outcome
+	Host  string
+	// Since is the time since the target's trust changed before.
+	Since clock.Millis
+}
+
 // Ask describes a request that needs a target.
 type Ask struct {
 	// Repeatable requests may run more than once.
@@ -56,7 +68,7 @@
 // queueBeyond is the number of requests that a target holds beyond its slots
 // before no more are sent there: the rest waits where it can go to the target
 // that has room first.
-const queueBeyond = 2
+const queueBeyond = 1
 
 // Run prepares the pool.
 func (p *Pool) Run() {
@@ -322,12 +334,23 @@
 // Overdue notes that a target has not answered a request in the usual time.
 func (p *Pool) Overdue(now clock.Millis, id string) {
 	if t := p.targets[id]; t != nil {
+		defer p.believe(now, t, t.lacks == 0, TimedOut, "")
 		t.fail(now, 1)
 		t.changed = true
 	}
 }
 
+// believe tells of a change of trust.
+func (p *Pool) believe(now clock.Millis, t *target, before bool, o Outcome, host string) {
+	if p.Believe == nil || before == (t.lacks == 0) {
+		return
+	}
+	p.Believe(now, Belief{Target: t.ID, Trusted: !before, Cause: o, Host: host, Since: now - t.turnedAt})
+	t.turnedAt = now
+}
+
 func (p *Pool) judge(now clock.Millis, t *target, r Result) {
+	defer p.believe(now, t, t.lacks == 0, r.Outcome, "")
 	switch r.Outcome {
 	case Served:
 		if t.refused {
--- a/balance/target.go
+++ b/balance/target.go
@@ -35,11 +35,13 @@
 	// trusted again; fails counts failures in a row.
 	lacks, fails int
 	retryAt      clock.Millis
-	probing      bool
-	latency      float64
-	load         Load
-	loadAt       clock.Millis
-	coldUntil    clock.Millis
+	// turnedAt is when trust was gained or lost last.
+	turnedAt  clock.Millis
+	probing   bool
+	latency   float64
+	load      Load
+	loadAt    clock.Millis
+	coldUntil clock.Millis
 	// refused is true after a connection was refused, until an answer.
 	refused bool
 	gone    bool
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -172,7 +172,7 @@
 	}
 	h, ok := c.host.await(c.context, &place{
 		service: c.service, ask: ask, waiter: balance.Waiter{Priority: c.priority(), Since: c.start},
-		until: now + min(c.route.Objective/2, c.left()/2),
+		until: now + c.roomWait(),
 	})
 	now = c.host.Clock.Now()
 	if !ok && last != nil {
@@ -189,6 +189,20 @@
 	return a, nil
 }
 
+// roomWait is how long the request may wait for room: as long as it can still
+// be answered within its objective.
+func (c *call) roomWait() clock.Millis {
+	spare := c.route.Objective - roomFactor*c.host.view.typical(c.service)
+	return max(min(spare, c.left()/2), minRoomWait)
+}
+
+const (
+	// roomFactor times the usual answer is kept of the objective for the
+	// target.
+	roomFactor  = 2
+	minRoomWait = 40 * clock.Millis(1)
+)
+
 // retryFull is when callers should come back to a service without room.
 const retryFull = 300 * clock.Millis(1)
 
@@ -349,7 +363,7 @@
 	}
 	if o != balance.Served {
 		c.host.Log.Info("attempt", zap.String("request", c.id), zap.String("target", a.choice.ID),
-			zap.String("service", c.service), zap.Int("outcome", int(o)), zap.Int64("tookMs", int64(r.Took)),
+			zap.String("service", c.service), zap.String("outcome", o.String()), zap.Int64("tookMs", int64(r.Took)),
 			zap.Bool("probe", a.choice.Probe), zap.Int("busy", a.choice.Busy), zap.Int64("ageMs", int64(a.choice.Age)))
 	}
 }
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -12,7 +12,17 @@
 	"github.com/carawayrack/carawayrack/coordinator"
 )
 
+// The kinds of datagrams.
 const (
+	// partial datagrams hold what has changed.
+	partial = iota
+	// digest datagrams hold all targets of the sender's zone.
+	digest
+)
+
+const (
+	// digestInterval is the pause between digests of a zone.
+	digestInterval = 1 * clock.Second
 	// gatherFor is the time for which changes are gathered into one datagram.
 	gatherFor   = 10 * clock.Millis(1)
 	datagramMax = 1200
@@ -20,7 +30,8 @@
 )
 
 // gossip tells other hosts what this one sees of targets, as datagrams: all
-// changes to the hosts of its own zone, and failures to all.
+// changes to the hosts of its own zone, changes of trust to all. One host of
+// each zone sends a digest of its targets to the others.
 type gossip struct {
 	settings Settings
 	clock    clock.Clock
@@ -45,6 +56,7 @@
 	g.dirty = make(chan struct{}, 1)
 	go g.receiveLoop()
 	go g.loop()
+	go g.digestLoop()
 	return nil
 }
 
@@ -59,24 +71,33 @@
 func (g *gossip) loop() {
 	for range g.dirty {
 		time.Sleep(gatherFor.Duration())
-		g.send(g.view.changedEvidence(g.clock.Now()), g.view.peers(false))
+		g.send(partial, g.view.changedEvidence(g.clock.Now()), g.view.peers(false))
+	}
+}
+
+func (g *gossip) digestLoop() {
+	for {
+		time.Sleep(digestInterval.Duration())
+		if l := g.view.peers(false); len(l) > 0 && l[0].ID == g.settings.ID {
+			g.send(digest, g.view.digest(g.clock.Now()), g.view.otherZones())
+		}
 	}
 }
 
 // alarm tells all hosts at once that a target failed or recovered.
 func (g *gossip) alarm(service, id string) {
 	if e, ok := g.view.evidenceOf(g.clock.Now(), service, id); ok {
-		g.send([]balance.Evidence{e}, g.view.peers(true))
+		g.send(partial, []balance.Evidence{e}, g.view.peers(true))
 	}
 }
 
 // send sends evidence to hosts.
-func (g *gossip) send(l []balance.Evidence, to []coordinator.Host) {
+func (g *gossip) send(kind byte, l []balance.Evidence, to []coordinator.Host) {
 	if len(l) == 0 {
 		return
 	}
 	b := append(make([]byte, 0, datagramMax), g.mark[:]...)
-	b = append(b, byte(len(g.settings.ID)))
+	b = append(b, kind, byte(len(g.settings.ID)))
 	b = append(b, g.settings.ID...)
 	b = balance.EncodeEvidence(b, l)
 	if len(b) > datagramMax {
@@ -110,13 +131,13 @@
 }
 
 func (g *gossip) receive(b []byte) {
-	if len(b) <= markSize || [markSize]byte(b[:markSize]) != g.mark {
+	if len(b) < markSize+2 || [markSize]byte(b[:markSize]) != g.mark {
 		return
 	}
-	b = b[markSize:]
-	k := int(b[0])
-	if len(b) < 1+k {
+	kind, k := b[markSize], int(b[markSize+1])
+	b = b[markSize+2:]
+	if len(b) < k {
 		return
 	}
-	g.view.learn(g.clock.Now(), string(b[1:1+k]), balance.DecodeEvidence(b[1+k:]))
+	g.view.learn(g.clock.Now(), kind, string(b[:k]), balance.DecodeEvidence(b[k:]))
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -11,11 +11,6 @@
 	answers, refusals, attempts *expvar.Map
 }
 
-var outcomeNames = map[balance.Outcome]string{
-	balance.Served: "served", balance.Failed: "failed", balance.Broken: "broken", balance.TimedOut: "timedOut",
-	balance.Unreached: "unreached", balance.Shed: "shed", balance.Misdirected: "misdirected", balance.Cancelled: "cancelled",
-}
-
 func newMetrics() *metrics {
 	m := &metrics{answers: new(expvar.Map), refusals: new(expvar.Map), attempts: new(expvar.Map)}
 	if expvar.Get("answers") == nil {
@@ -27,5 +22,5 @@
 }
 
 func (m *metrics) attempt(service string, o balance.Outcome) {
-	m.attempts.Add(service+"."+outcomeNames[o], 1)
+	m.attempts.Add(service+"."+o.String(), 1)
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -91,16 +91,54 @@
 	return v.pool(service).Of(now, id)
 }
 
+// digest returns the evidence on the targets of the own zone.
+func (v *view) digest(now clock.Millis) []balance.Evidence {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var l []balance.Evidence
+	for _, p := range v.pools {
+		l = append(l, p.Digest(now)...)
+	}
+	return l
+}
+
+// otherZones returns the hosts of other zones that take requests.
+func (v *view) otherZones() []coordinator.Host {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var l []coordinator.Host
+	for _, h := range v.active() {
+		if h.Zone != v.zone {
+			l = append(l, h)
+		}
+	}
+	return l
+}
+
 // learn takes over evidence of another host.
-func (v *view) learn(now clock.Millis, host string, l []balance.Evidence) {
+func (v *view) learn(now clock.Millis, kind byte, host string, l []balance.Evidence) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	zone := v.zoneOf(host)
 	for _, e := range l {
 		for n, p := range v.pools {
-			if p.Learn(now, host, e) {
+			take := p.Learn
+			if kind == digest || zone != v.zone && p.From(e, zone) {
+				take = p.Adopt
+			}
+			if take(now, host, e) {
 				v.queue(n).Wake()
 				break
 			}
 		}
 	}
 }
+
+func (v *view) zoneOf(host string) string {
+	for _, h := range v.fleet.Hosts {
+		if h.ID == host {
+			return h.Zone
+		}
+	}
+	return ""
+}
--- a/edge/view.go
+++ b/edge/view.go
@@ -4,6 +4,8 @@
 	"maps"
 	"sync"
 
+	"go.uber.org/zap"
+
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
@@ -16,6 +18,7 @@
 type view struct {
 	zone   string
 	retry  RetryBudget
+	log    *zap.Logger
 	random func(n int) int
 
 	mu      sync.Mutex
@@ -110,13 +113,19 @@
 func (v *view) pool(service string) *balance.Pool {
 	p := v.pools[service]
 	if p == nil {
-		p = &balance.Pool{Zone: v.zone, Random: v.random, Hosts: v.hostsHere()}
+		p = &balance.Pool{Zone: v.zone, Hosts: v.hostsHere(), Believe: v.believe}
 		p.Run()
 		v.pools[service] = p
 	}
 	return p
 }
 
+// believe logs a change of trust.
+func (v *view) believe(_ clock.Millis, b balance.Belief) {
+	v.log.Info("trust", zap.String("target", b.Target), zap.Bool("trusted", b.Trusted),
+		zap.String("cause", b.Cause.String()), zap.String("seenBy", b.Host), zap.Int64("sinceMs", int64(b.Since)))
+}
+
 func (v *view) budget(service string) *share.Retry {
 	b := v.budgets[service]
 	if b == nil {
