--- a/balance/queue.go
+++ b/balance/queue.go
@@ -6,6 +6,22 @@
 // urgent first, then the one that came first.
 type Queue struct {
 	waiters []*Waiter
+	// emptyAt is when the queue was empty last.
+	emptyAt clock.Millis
+}
+
+// standingAfter is the time for which a queue is not empty from which it
+// counts as standing.
+const standingAfter = 400 * clock.Millis(1)
+
+// Standing reports whether the queue has not been empty for a while: then
+// more comes than goes, and waiting makes all answers late without serving
+// more.
+func (q *Queue) Standing(now clock.Millis) bool {
+	if len(q.waiters) == 0 {
+		q.emptyAt = now
+	}
+	return now-q.emptyAt > standingAfter
 }
 
 // Waiter is a request that waits.
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -172,7 +172,7 @@
 	}
 	h, ok := c.host.await(c.context, &place{
 		service: c.service, ask: ask, waiter: balance.Waiter{Priority: c.priority(), Since: c.start},
-		until: now + c.roomWait(),
+		start: now, until: now + c.roomWait(),
 	})
 	now = c.host.Clock.Now()
 	if !ok && last != nil {
@@ -190,10 +190,10 @@
 }
 
 // roomWait is how long the request may wait for room: as long as it can still
-// be answered within its objective.
+// be answered, and not longer than most of its objective.
 func (c *call) roomWait() clock.Millis {
-	spare := c.route.Objective - roomFactor*c.host.view.typical(c.service)
-	return max(min(spare, c.left()/2), minRoomWait)
+	spare := c.left() - roomFactor*c.host.view.typical(c.service)
+	return max(min(spare, c.route.Objective*3/4), minRoomWait)
 }
 
 const (
--- a/edge/wait.go
+++ b/edge/wait.go
@@ -17,10 +17,14 @@
 	service string
 	ask     balance.Ask
 	waiter  balance.Waiter
-	// until is the end of the wait.
-	until clock.Millis
+	// start and until bound the wait.
+	start, until clock.Millis
 }
 
+// standingWait is how long a request waits in a queue that does not get
+// shorter.
+const standingWait = 60 * clock.Millis(1)
+
 // await chooses a target, if need be after a wait for room.
 func (h *Host) await(c context.Context, p *place) (balance.Choice, bool) {
 	queued := false
@@ -48,6 +52,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	q := v.queue(p.service)
+	if q.Standing(now) {
+		p.until = min(p.until, p.start+standingWait)
+	}
 	a := p.ask
 	a.Spare = a.Spare && v.budget(p.service).Left() >= spareRetries
 	over = now >= p.until
