--- a/balance/pool.go
+++ b/balance/pool.go
@@ -68,7 +68,7 @@
 // queueBeyond is the number of requests that a target holds beyond its slots
 // before no more are sent there: the rest waits where it can go to the target
 // that has room first.
-const queueBeyond = 1
+const queueBeyond = 2
 
 // Run prepares the pool.
 func (p *Pool) Run() {
@@ -171,13 +171,16 @@
 	return a.Repeatable || t.lacks <= unsafeLacks
 }
 
-// review finds out whether any target is trusted.
-func (p *Pool) review() {
+// review settles what is under way and finds out whether any target is
+// trusted.
+func (p *Pool) review(now clock.Millis) {
 	p.trusted = false
 	for _, t := range p.order {
+		before := t.lacks == 0
+		t.settle(now)
+		p.believe(now, t, before, Served, "")
 		if t.lacks == 0 && t.Phase == catalog.Serving && !t.gone && !p.zonesOut[t.Zone] {
 			p.trusted = true
-			return
 		}
 	}
 }
@@ -195,7 +198,7 @@
 // Pick chooses a target and counts the request there; Done must follow. It
 // reports false if no target has room.
 func (p *Pool) Pick(now clock.Millis, a Ask) (Choice, bool) {
-	p.review()
+	p.review(now)
 	var t *target
 	if a.Repeatable && a.Spare {
 		t = p.probe(now, a)
@@ -362,6 +365,7 @@
 	case Failed:
 		t.fail(now, min(t.fails+2, trustedAfter))
 	case Broken, TimedOut:
+		t.quick = r.Outcome == Broken && r.Took <= quickFailure
 		t.fail(now, trustedAfter)
 	case Unreached:
 		t.refused = true
