--- a/balance/pool.go
+++ b/balance/pool.go
@@ -68,7 +68,7 @@
 // queueBeyond is the number of requests that a target holds beyond its slots
 // before no more are sent there: the rest waits where it can go to the target
 // that has room first.
-const queueBeyond = 2
+const queueBeyond = 4
 
 // Run prepares the pool.
 func (p *Pool) Run() {
@@ -148,37 +148,27 @@
 	if t.busy(now) >= t.slots()+queueBeyond {
 		return false
 	}
-	if t.lacks > 0 && !p.bears(now, t, a) {
+	if t.lacks > 0 && !p.bears(t, a) {
 		return false
 	}
 	return !t.cold(now) || p.coldRoom(now, t)
 }
 
-// unsafeLacks is the number of missing answers up to which a target gets
-// requests that may not be repeated.
-const unsafeLacks = 2
-
-// bears reports whether a target that is not trusted gets one more request:
-// each answer lets in one more at a time, and only from hosts of its zone,
-// which know of each other's. Without any trusted target all are tried.
-func (p *Pool) bears(now clock.Millis, t *target, a Ask) bool {
+// bears reports whether a target that is not trusted gets a request of this
+// host: hosts of its zone know of each other's, and a request that must not be
+// repeated is rather refused than failed. Without any trusted target all are
+// tried.
+func (p *Pool) bears(t *target, a Ask) bool {
 	if !p.trusted {
 		return true
 	}
-	if t.Zone != p.Zone || t.busy(now) > trustedAfter-t.lacks {
-		return false
-	}
-	return a.Repeatable || t.lacks <= unsafeLacks
+	return t.Zone == p.Zone && (a.Repeatable || t.lacks < trustedAfter)
 }
 
-// review settles what is under way and finds out whether any target is
-// trusted.
-func (p *Pool) review(now clock.Millis) {
+// review finds out whether any target is trusted.
+func (p *Pool) review() {
 	p.trusted = false
 	for _, t := range p.order {
-		before := t.lacks == 0
-		t.settle(now)
-		p.believe(now, t, before, Served, "")
 		if t.lacks == 0 && t.Phase == catalog.Serving && !t.gone && !p.zonesOut[t.Zone] {
 			p.trusted = true
 		}
@@ -198,7 +188,7 @@
 // Pick chooses a target and counts the request there; Done must follow. It
 // reports false if no target has room.
 func (p *Pool) Pick(now clock.Millis, a Ask) (Choice, bool) {
-	p.review(now)
+	p.review()
 	var t *target
 	if a.Repeatable && a.Spare {
 		t = p.probe(now, a)
@@ -365,7 +355,6 @@
 	case Failed:
 		t.fail(now, min(t.fails+2, trustedAfter))
 	case Broken, TimedOut:
-		t.quick = r.Outcome == Broken && r.Took <= quickFailure
 		t.fail(now, trustedAfter)
 	case Unreached:
 		t.refused = true
--- a/balance/target.go
+++ b/balance/target.go
@@ -36,12 +36,8 @@
 	lacks, fails int
 	retryAt      clock.Millis
 	// turnedAt is when trust was gained or lost last.
-	turnedAt clock.Millis
-	probing  bool
-	// quick is true if the last failure came at once; countedTo is the last
-	// request that was counted as an answer while it was under way.
-	quick     bool
-	countedTo clock.Millis
+	turnedAt  clock.Millis
+	probing   bool
 	latency   float64
 	load      Load
 	loadAt    clock.Millis
@@ -101,38 +97,12 @@
 		return
 	}
 	t.fails = 0
-	if t.lacks > 0 && sentAt > t.countedTo {
+	if t.lacks > 0 {
 		t.lacks--
-		t.countedTo = sentAt
 	}
 	t.retryAt = 0
 }
 
-const (
-	// quickFailure is the time within which a target in a spell breaks the
-	// connections of requests, survived the time after which a request that
-	// is under way has got past that.
-	quickFailure = 20 * clock.Millis(1)
-	survived     = 30 * clock.Millis(1)
-)
-
-// settle counts requests that are under way as answers of a target that broke
-// connections quickly: they have got past the point of failure.
-func (t *target) settle(now clock.Millis) {
-	if t.lacks == 0 || !t.quick {
-		return
-	}
-	for _, s := range t.starts {
-		if s > t.failAt && s > t.countedTo && now-s >= survived && t.lacks > 0 {
-			t.countedTo = s
-			t.lacks--
-			t.okAt = max(t.okAt, s)
-			t.probing = false
-			t.retryAt = 0
-		}
-	}
-}
-
 // acceptedAfter is the time without a failure after which a request that is
 // under way counts as taken by its target.
 const acceptedAfter = 10 * clock.Millis(1)
