--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -143,8 +143,9 @@
 // patience is how long the first target may take before it counts as slow.
 func (c *call) patience() time.Duration {
 	typical := c.host.view.typical(c.service)
-	if typical == 0 {
-		return c.left().Duration()
+	if typical == 0 && c.route.Objective > 0 {
+		// None has answered yet, or all within the clock's resolution.
+		return c.route.Objective.Duration()
 	}
 	return (patienceFactor*typical + patienceMin).Duration()
 }
--- /dev/null
+++ b/edge/host_test.go
@@ -0,0 +1,270 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/coordinator"
+)
+
+var _ = Describe("a request", func() {
+	It("reaches a target unchanged, with its account in place of its key", func() {
+		t := newStandin("t1", ok)
+		w := newWorld(t)
+		a := w.post("/unsafe/x%2Fy?q=1&q=2", "body", "Account", "forged", "Other", "kept")
+		Expect(a.status).To(Equal(200))
+		Expect(a.body).To(Equal("hello"))
+		Expect(a.header.Get("Seal")).To(Equal("x"))
+		q := t.seen[0]
+		Expect(q.RequestURI).To(Equal("/unsafe/x%2Fy?q=1&q=2"))
+		Expect(q.Method).To(Equal(http.MethodPost))
+		Expect(t.body[0]).To(Equal("body"))
+		Expect(q.Header.Values("Account")).To(Equal([]string{"acc"}))
+		Expect(q.Header.Get("Key")).To(BeEmpty())
+		Expect(q.Header.Get("Expect-Id")).To(Equal("t1"))
+		Expect(q.Header.Get("Other")).To(Equal("kept"))
+		Expect(q.Header.Get("Req-Id")).To(Equal("r1"))
+		Expect(q.Header.Get("Left")).NotTo(Equal("5000"))
+	})
+
+	It("is refused without a route or with an unknown key, and needs no key on an open route", func() {
+		t := newStandin("t1", ok)
+		w := newWorld(t)
+		Expect(w.get("/other/").status).To(Equal(404))
+		Expect(w.get("/safe/", "Key", "k2").status).To(Equal(401))
+		Expect(w.get("/open/", "Key", "").status).To(Equal(200))
+		Expect(t.requests()).To(Equal(1))
+	})
+
+	It("is refused with a time to come back while its account has no tokens", func() {
+		t := newStandin("t1", ok)
+		w := newWorld(t)
+		w.lent = 1
+		Expect(w.get("/safe/").status).To(Equal(200))
+		a := w.get("/safe/")
+		Expect(a.status).To(Equal(429))
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(t.requests()).To(Equal(1))
+	})
+
+	It("is refused as not run once the host cannot prove that its configuration is current", func() {
+		t := newStandin("t1", ok)
+		w := newWorld(t)
+		w.host.Settings.Trust = 0
+		Expect(w.get("/safe/").status).To(Equal(503))
+		Expect(w.host.Ready()).To(BeFalse())
+		Expect(t.requests()).To(Equal(0))
+	})
+
+	It("is refused at once when its body is larger than allowed", func() {
+		w := newWorld(newStandin("t1", ok))
+		c, _ := w.host.view.current(w.host.Clock.Now())
+		c.Limits.BodyBytes = 3
+		Expect(w.post("/unsafe/", "four").status).To(Equal(413))
+	})
+
+	It("that may be repeated goes to a second target when the first breaks the connection", func() {
+		t1, t2 := newStandin("t1", ""), newStandin("t2", ok)
+		w := newWorld(t1, t2)
+		for i := 0; i < 4; i++ {
+			Expect(w.get("/safe/").status).To(Equal(200))
+		}
+		Expect(t1.requests()).To(BeNumerically(">=", 1))
+	})
+
+	It("that must not be repeated is sent once, and its end is unknown when the connection breaks", func() {
+		t1, t2 := newStandin("t1", ""), newStandin("t2", "")
+		w := newWorld(t1, t2)
+		a := w.post("/unsafe/", "b")
+		Expect(a.status).To(Equal(502))
+		Expect(t1.requests() + t2.requests()).To(Equal(1))
+	})
+
+	It("that must not be repeated goes on to another target when the first says that it did not run it", func() {
+		shed := status(503, "Not-Run: 1\r\n")
+		t1, t2 := newStandin("t1", shed, ok), newStandin("t2", shed, ok)
+		w := newWorld(t1, t2)
+		a := w.post("/unsafe/", "b")
+		Expect(a.status).To(Equal(503))
+		Expect(t1.requests() + t2.requests()).To(Equal(2))
+		Expect(w.post("/unsafe/", "b").status).To(Equal(200))
+	})
+
+	It("never gets a promise of a target that ran it", func() {
+		w := newWorld(newStandin("t1", status(503, "Seal: x\r\n")))
+		a := w.post("/unsafe/", "b")
+		Expect(a.status).To(Equal(502))
+		Expect(a.header.Get("Seal")).To(BeEmpty())
+	})
+
+	It("gets a failure of a target as it is", func() {
+		w := newWorld(newStandin("t1", status(500, "Seal: y\r\n")))
+		a := w.post("/unsafe/", "b")
+		Expect(a.status).To(Equal(500))
+		Expect(a.body).To(Equal("no"))
+		Expect(a.header.Get("Seal")).To(Equal("y"))
+	})
+
+	It("leaves a target for good that is not at its address", func() {
+		t1, t2 := newStandin("t1", status(421, "")), newStandin("t2", ok)
+		w := newWorld(t1, t2)
+		for i := 0; i < 6; i++ {
+			Expect(w.post("/unsafe/", "b").status).To(Equal(200))
+		}
+		Expect(t1.requests()).To(BeNumerically("<=", 1))
+	})
+
+	It("finds another target when nothing listens at the first", func() {
+		t1, t2 := newStandin("t1", ok), newStandin("t2", ok)
+		w := newWorld(t1, t2)
+		Expect(t1.ln.Close()).To(Succeed())
+		for i := 0; i < 4; i++ {
+			Expect(w.post("/unsafe/", "b").status).To(Equal(200))
+		}
+	})
+
+	It("that is answered in time by a second target leaves a slow one", func() {
+		t1 := newStandin("t1", ok)
+		w := newWorld(t1)
+		Expect(w.get("/safe/").status).To(Equal(200))
+		t2 := newStandin("t2", ok)
+		t2.silent = true
+		w.set(t1, t2)
+		Expect(w.get("/safe/").status).To(Equal(200))
+		Expect(t2.requests()).To(Equal(1))
+		Eventually(func() int { t2.mu.Lock(); defer t2.mu.Unlock(); return t2.closed }, 5*time.Second).Should(Equal(1))
+	})
+
+	It("is answered by the route's time limit", func() {
+		t1 := newStandin("t1", ok)
+		t1.silent = true
+		w := newWorld(t1)
+		a := w.post("/unsafe/", "b")
+		Expect(a.status).To(Equal(504))
+	})
+
+	It("is taken from its target when the caller leaves", func() {
+		t1 := newStandin("t1", ok)
+		t1.silent = true
+		w := newWorld(t1)
+		x, stop := context.WithCancel(context.Background())
+		q, err := http.NewRequestWithContext(x, http.MethodGet, w.server.URL+"/safe/", nil)
+		Expect(err).NotTo(HaveOccurred())
+		q.Host = "h"
+		q.Header.Set("Key", "k1")
+		left := make(chan error, 1)
+		c := &caller{q, left}
+		go c.run()
+		Eventually(t1.requests, 5*time.Second).Should(Equal(1))
+		stop()
+		Eventually(left, 5*time.Second).Should(Receive(HaveOccurred()))
+		Eventually(func() int { t1.mu.Lock(); defer t1.mu.Unlock(); return t1.closed }, 5*time.Second).Should(Equal(1))
+	})
+})
+
+// caller sends one request.
+type caller struct {
+	request *http.Request
+	done    chan<- error
+}
+
+func (c *caller) run() {
+	_, err := http.DefaultClient.Do(c.request)
+	c.done <- err
+}
+
+var _ = Describe("an answer", func() {
+	DescribeTable("that is not the target's whole answer to the request is not passed on",
+		func(raw string) {
+			w := newWorld(newStandin("t1", raw))
+			a := w.post("/unsafe/", "b")
+			Expect(a.status).To(Equal(502))
+			Expect(a.body).NotTo(ContainSubstring("hello"))
+			Expect(a.header.Get("Seal")).To(BeEmpty())
+		},
+		Entry("cut", "HTTP/1.1 200 OK\r\nReq-Id: ID\r\nSeal: x\r\nContent-Length: 9\r\nConnection: close\r\n\r\nhello"),
+		Entry("no answer at all", "hello hello\r\n\r\n"),
+		Entry("without a seal", "HTTP/1.1 200 OK\r\nReq-Id: ID\r\nContent-Length: 5\r\n\r\nhello"),
+		Entry("encoded", "HTTP/1.1 200 OK\r\nReq-Id: ID\r\nSeal: x\r\nContent-Encoding: gzip\r\nContent-Length: 5\r\n\r\nhello"),
+		Entry("without an ID", "HTTP/1.1 200 OK\r\nSeal: x\r\nContent-Length: 5\r\n\r\nhello"),
+		Entry("cut chunks", "HTTP/1.1 200 OK\r\nReq-Id: ID\r\nSeal: x\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n5\r\nhello\r\n"),
+	)
+
+	It("to an earlier request is skipped", func() {
+		late := "HTTP/1.1 200 OK\r\nReq-Id: other\r\nSeal: o\r\nContent-Length: 5\r\n\r\nwrong"
+		w := newWorld(newStandin("t1", late+ok))
+		a := w.post("/unsafe/", "b")
+		Expect(a.status).To(Equal(200))
+		Expect(a.body).To(Equal("hello"))
+	})
+
+	It("with more bytes behind it ends its connection", func() {
+		w := newWorld(newStandin("t1", ok+"HTTP/1.1 200 OK\r\nReq-Id: ID\r\nSeal: z\r\nContent-Length: 5\r\n\r\nwrong", ok))
+		for i := 0; i < 3; i++ {
+			Expect(w.post("/unsafe/", "b").body).To(Equal("hello"))
+		}
+	})
+
+	It("that ends with its connection is whole when that ends cleanly", func() {
+		w := newWorld(newStandin("t1", "HTTP/1.1 200 OK\r\nReq-Id: ID\r\nSeal: x\r\nConnection: close\r\n\r\nhello"))
+		a := w.post("/unsafe/", "b")
+		Expect(a.status).To(Equal(200))
+		Expect(a.body).To(Equal("hello"))
+	})
+
+	It("to a large request comes through, and so does the next one", func() {
+		w := newWorld(newStandin("t1", ok))
+		Expect(w.post("/unsafe/", strings.Repeat("x", 300_000)).status).To(Equal(200))
+		Expect(w.post("/unsafe/", strings.Repeat("y", 300_000)).status).To(Equal(200))
+	})
+})
+
+var _ = Describe("addresses for callers", func() {
+	fleet := &coordinator.Fleet{Hosts: []coordinator.Host{
+		{ID: "1", Zone: "a", Callers: "a1"}, {ID: "2", Zone: "a", Callers: "a2"}, {ID: "3", Zone: "a", Callers: "a3", Leaving: true},
+		{ID: "4", Zone: "b", Callers: "b1"}, {ID: "5", Zone: "c", Callers: "c1"}, {ID: "6", Zone: "c", Callers: "c2"},
+	}}
+
+	It("are those of the caller's zone, without hosts that leave", func() {
+		w := newWorld()
+		w.host.view.setFleet(fleet)
+		Expect(w.host.Resolve("a")).To(Equal([]string{"a1", "a2"}))
+	})
+
+	It("are of other zones too where the zone has few, or is out", func() {
+		w := newWorld()
+		w.host.view.setFleet(fleet)
+		Expect(w.host.Resolve("b")).To(ConsistOf("b1", "a1", "a2", "c1", "c2"))
+		w.host.view.zonesOut = map[string]bool{"a": true}
+		Expect(w.host.Resolve("a")).To(ConsistOf("b1", "c1", "c2"))
+		w.host.view.zonesOut = map[string]bool{"a": true, "b": true, "c": true}
+		Expect(w.host.Resolve("a")).NotTo(BeEmpty())
+	})
+})
+
+var _ = Describe("tokens while nobody lends", func() {
+	It("are the host's own part of the rate, and no more", func() {
+		w := newWorld()
+		c, _ := w.host.view.current(w.host.Clock.Now())
+		a := c.Account("acc")
+		now := w.host.Clock.Now()
+		t := &tokens{hosts: func() int { return 10 }}
+		t.clock.Read = func() clock.Millis { return now }
+		t.borrow = func(coordinator.BorrowArgs) (coordinator.BorrowReply, error) { return coordinator.BorrowReply{}, nil }
+		t.run()
+		n := 0
+		for end := now + 10_000; now < end; now += 5 {
+			if ok, _ := t.take(a); ok {
+				n++
+			}
+		}
+		Expect(float64(n)).To(BeNumerically("<=", a.Rate/10*10+a.Rate/10+1))
+		Expect(float64(n)).To(BeNumerically(">=", a.Rate/10*10*fallbackShare*0.9))
+	})
+})
--- /dev/null
+++ b/edge/standin_test.go
@@ -0,0 +1,228 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/forward"
+)
+
+// testHeaders are header names of the tests' own.
+var testHeaders = Headers{
+	RequestID: "Req-Id", Deadline: "Left", Key: "Key", Account: "Account", Expect: "Expect-Id",
+	NotRun: "Not-Run", Seal: "Seal", Load: "Load", Cold: "Cold",
+}
+
+// standin is a target that answers with what a test gives it.
+type standin struct {
+	id string
+	ln net.Listener
+
+	mu   sync.Mutex
+	seen []*http.Request
+	body []string
+	// script holds the raw answers in turn; the last one is kept. ID stands
+	// for the request's ID. An empty answer closes the connection.
+	script []string
+	// closed counts connections that the other side ended.
+	closed int
+	silent bool
+}
+
+func newStandin(id string, script ...string) *standin {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &standin{id: id, ln: l, script: script}
+	DeferCleanup(func() { _ = l.Close() })
+	go s.loop()
+	return s
+}
+
+func (s *standin) loop() {
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		x := &session{s, c}
+		go x.run()
+	}
+}
+
+type session struct {
+	target *standin
+	conn   net.Conn
+}
+
+func (x *session) run() {
+	defer x.conn.Close()
+	r := bufio.NewReader(x.conn)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			x.target.ended()
+			return
+		}
+		b, err := io.ReadAll(q.Body)
+		if err != nil {
+			x.target.ended()
+			return
+		}
+		a, silent := x.target.next(q, string(b))
+		if silent {
+			_, _ = r.ReadByte()
+			x.target.ended()
+			return
+		}
+		if a == "" {
+			return
+		}
+		_, _ = x.conn.Write([]byte(strings.ReplaceAll(a, "ID", q.Header.Get(testHeaders.RequestID))))
+		if strings.Contains(a, "Connection: close") {
+			return
+		}
+	}
+}
+
+func (s *standin) ended() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed++
+}
+
+func (s *standin) next(q *http.Request, body string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = append(s.seen, q)
+	s.body = append(s.body, body)
+	a := s.script[0]
+	if len(s.script) > 1 {
+		s.script = s.script[1:]
+	}
+	return a, s.silent
+}
+
+func (s *standin) requests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.seen)
+}
+
+// ok is a whole answer.
+const ok = "HTTP/1.1 200 OK\r\nReq-Id: ID\r\nSeal: x\r\nContent-Length: 5\r\n\r\nhello"
+
+func status(code int, extra string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nReq-Id: ID\r\n%sContent-Length: 2\r\n\r\nno", code, extra)
+}
+
+// world is a host with stand-in targets.
+type world struct {
+	host   *Host
+	server *httptest.Server
+	now    clock.Millis
+	lent   int
+}
+
+func newWorld(targets ...*standin) *world {
+	w := &world{lent: 1 << 30}
+	h := &Host{
+		Settings: Settings{ID: "h", Zone: "z", Trust: 4000, Retry: RetryBudget{Ratio: 0.2, Slack: 60}, Grace: 600},
+		Headers:  testHeaders, Clock: clock.Boot(), Log: zap.NewNop(),
+	}
+	h.metrics = newMetrics()
+	h.view = &view{zone: "z", retry: h.Settings.Retry, random: func(int) int { return 0 }, log: h.Log}
+	h.view.run()
+	h.tokens = &tokens{clock: h.Clock, hosts: func() int { return 1 }, borrow: w.borrow}
+	h.tokens.run()
+	h.link = &link{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, kicks: make(chan struct{}, 1)}
+	h.gossip = &gossip{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, dirty: make(chan struct{}, 1)}
+	h.conns = &forward.Pool{Clock: h.Clock, DialTimeout: 500}
+	h.conns.Run()
+	DeferCleanup(h.conns.Close)
+	w.host = h
+	w.set(targets...)
+	h.view.proven(h.Clock.Now())
+	w.server = httptest.NewServer(h)
+	DeferCleanup(w.server.Close)
+	return w
+}
+
+func (w *world) borrow(a coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
+	n := min(w.lent, a.Tokens)
+	w.lent -= n
+	return coordinator.BorrowReply{Tokens: n, Wait: 500, Known: true}, nil
+}
+
+// set makes targets and a configuration known.
+func (w *world) set(targets ...*standin) {
+	s := catalog.New(nil)
+	s.Config = &catalog.Config{
+		Version:  1,
+		Services: []catalog.Service{{Name: "s"}},
+		Accounts: []catalog.Account{{Name: "acc", Keys: []string{"k1"}, Priority: -1, Rate: 100, Burst: 100}},
+		Routes: []catalog.Route{
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.Idempotent, Timeout: 2000, Objective: 500, Attempts: 2, Parts: []catalog.Part{{Service: "s", Weight: 1}}},
+			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: catalog.Unsafe, Timeout: 700, Objective: 500, Attempts: 2, Parts: []catalog.Part{{Service: "s", Weight: 1}}},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Idempotent, Timeout: 2000, Objective: 500, Attempts: 2, Open: true, Parts: []catalog.Part{{Service: "s", Weight: 1}}},
+		},
+	}
+	s.Config.Index()
+	for i, t := range targets {
+		s.Targets[t.id] = catalog.Target{ID: t.id, Service: "s", Zone: "z", Addr: t.ln.Addr().String(), Phase: catalog.Serving, Slots: 8, Born: int64(i + 1)}
+	}
+	w.host.view.set(w.host.Clock.Now(), s)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+}
+
+func (w *world) call(method, path, body string, header ...string) (answer, error) {
+	q, err := http.NewRequest(method, w.server.URL+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	q.Host = "h"
+	q.Header.Set("Req-Id", "r1")
+	q.Header.Set("Key", "k1")
+	q.Header.Set("Left", "5000")
+	for i := 0; i+1 < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	c := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 10 * time.Second}
+	defer c.CloseIdleConnections()
+	r, err := c.Do(q)
+	if err != nil {
+		return answer{}, err
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	return answer{r.StatusCode, string(b), r.Header}, err
+}
+
+func (w *world) get(path string, header ...string) answer {
+	a, err := w.call(http.MethodGet, path, "", header...)
+	Expect(err).NotTo(HaveOccurred())
+	return a
+}
+
+func (w *world) post(path, body string, header ...string) answer {
+	a, err := w.call(http.MethodPost, path, body, header...)
+	Expect(err).NotTo(HaveOccurred())
+	return a
+}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -33,10 +33,12 @@
 	sweepInterval = 1 * clock.Second
 )
 
-func (p *Pool) dialTimeout() clock.Millis    { return orDefault(p.DialTimeout, DefaultDialTimeout) }
-func (p *Pool) unackedTimeout() clock.Millis { return orDefault(p.UnackedTimeout, DefaultUnackedTimeout) }
-func (p *Pool) idleTimeout() clock.Millis    { return orDefault(p.IdleTimeout, DefaultIdleTimeout) }
-func (p *Pool) freshIdle() clock.Millis      { return orDefault(p.FreshIdle, DefaultFreshIdle) }
+func (p *Pool) dialTimeout() clock.Millis { return orDefault(p.DialTimeout, DefaultDialTimeout) }
+func (p *Pool) unackedTimeout() clock.Millis {
+	return orDefault(p.UnackedTimeout, DefaultUnackedTimeout)
+}
+func (p *Pool) idleTimeout() clock.Millis { return orDefault(p.IdleTimeout, DefaultIdleTimeout) }
+func (p *Pool) freshIdle() clock.Millis   { return orDefault(p.FreshIdle, DefaultFreshIdle) }
 
 func orDefault(v, d clock.Millis) clock.Millis {
 	if v > 0 {
--- /dev/null
+++ b/logs/stream_test.go
@@ -0,0 +1,50 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+)
+
+// gate is a reader of logs that takes nothing until it is opened.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	b    bytes.Buffer
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.b.Write(b)
+}
+
+func (g *gate) lines() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return strings.Count(g.b.String(), "\n")
+}
+
+var _ = Describe("Stream", func() {
+	It("drops and counts lines while its reader is stuck, and never waits", func() {
+		g := &gate{open: make(chan struct{})}
+		l, s, err := NewStream(g, "info")
+		Expect(err).NotTo(HaveOccurred())
+		for i := 0; i < 2*streamLines; i++ {
+			l.Info("x", zap.Int("i", i))
+		}
+		Expect(s.Dropped()).To(BeNumerically(">=", streamLines-1))
+		close(g.open)
+		Eventually(g.lines, "10s").Should(BeNumerically(">=", streamLines))
+	})
+
+	It("refuses a level that it does not know", func() {
+		_, _, err := NewStream(&gate{}, "loud")
+		Expect(err).To(HaveOccurred())
+	})
+})
