--- a/balance/pool.go
+++ b/balance/pool.go
@@ -14,8 +14,10 @@
 type Pool struct {
 	// Zone is the host's own availability zone.
 	Zone string
-	// Hosts is the number of hosts that send requests in the own zone.
-	Hosts int
+	// Self is the host's ID, Hosts are the IDs of the hosts of its zone that
+	// take requests.
+	Self  string
+	Hosts []string
 	// Service holds the limits of the targets' cold start.
 	Service catalog.Service
 	// Believe is told when a target gains or loses trust, and why.
@@ -181,8 +183,25 @@
 	if t.Zone != p.Zone {
 		return false
 	}
-	limit := int(p.Service.WarmUpRate / float64(max(p.Hosts, 1)))
-	return t.startedWithin(now) < max(limit, 1) && t.busy(now) < t.slots()
+	owners := max(min(len(p.Hosts), coldOwners), 1)
+	limit := int(p.Service.WarmUpRate / float64(owners))
+	return p.owns(t, owners) && t.startedWithin(now) < max(limit, 1) && t.busy(now) < t.slots()
+}
+
+// coldOwners is the largest number of hosts that use a cold target.
+const coldOwners = 3
+
+// owns reports whether this host is one of a cold target's owners: those whose
+// IDs together with the target's have the lowest hashes.
+func (p *Pool) owns(t *target, owners int) bool {
+	mine := hashKey(t.ID + "/" + p.Self)
+	before := 0
+	for _, h := range p.Hosts {
+		if k := hashKey(t.ID + "/" + h); h != p.Self && (k < mine || k == mine && h < p.Self) {
+			before++
+		}
+	}
+	return before < owners
 }
 
 // Pick chooses a target and counts the request there; Done must follow. It
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -130,13 +130,6 @@
 	}, patience, 20*time.Millisecond).Should(Equal(strconv.FormatUint(version, 10)))
 }
 
-func (c *cluster) any() int {
-	for i := range c.nodes {
-		return i
-	}
-	return -1
-}
-
 // askAsHost asks a process as a host would.
 func askAsHost(addr string, a ExchangeArgs) ExchangeReply {
 	var r ExchangeReply
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -158,7 +158,7 @@
 func Active(l []Host, zone string) []Host {
 	var r []Host
 	for _, h := range l {
-		if h.Zone == zone && !h.Leaving && len(r) < hostsPerZone {
+		if h.Zone == zone && !h.Leaving && (h.Narrow || len(r) < hostsPerZone) {
 			r = append(r, h)
 		}
 	}
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -14,6 +14,9 @@
 	Callers, Peer string
 	// Leaving hosts are not given out to callers.
 	Leaving bool
+	// Narrow hosts have a link that a zone's traffic would fill: callers are
+	// spread over all of them.
+	Narrow bool
 }
 
 // Core is a control process.
--- a/edge/link.go
+++ b/edge/link.go
@@ -182,7 +182,7 @@
 	a := coordinator.ExchangeArgs{
 		Host: coordinator.Host{
 			ID: l.settings.ID, Zone: l.settings.Zone, Callers: l.settings.Callers, Peer: l.settings.Peer,
-			Leaving: l.leaving(),
+			Leaving: l.leaving(), Narrow: l.settings.Narrow,
 		},
 		Sequence: l.state.Sequence, Hosts: l.digest, Wants: wants, Returns: surplus,
 	}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -16,6 +16,8 @@
 	// Cores returns addresses of control processes that may be there.
 	Cores func() []string
 
+	// Narrow is true if one host's link cannot carry a good part of a zone.
+	Narrow bool
 	// Trust is the age of the newest proof of a current configuration up to
 	// which requests with keys are served.
 	Trust clock.Millis
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -133,7 +133,6 @@
 type world struct {
 	host   *Host
 	server *httptest.Server
-	now    clock.Millis
 	lent   int
 }
 
