Refuse routes without a timeout and two routes at one place

Ruled out: a lost or crossed answer (the log shows the change accepted), a route to an unknown service (all are listed). Change: both are Invalid; a specification each, which failed before.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -15,8 +15,8 @@
 		Services: []Service{{Name: "s"}},
 		Accounts: []Account{{Name: "x", Keys: []string{"k"}}},
 		Routes: []Route{
-			{Name: "r", Host: "h", Prefix: "/a/", Kind: Idempotent, Parts: []Part{{"s", 1}}},
-			{Name: "q", Host: "h", Prefix: "/a/b/", Kind: Unsafe, Parts: []Part{{"s", 1}}},
+			{Name: "r", Host: "h", Prefix: "/a/", Kind: Idempotent, Timeout: 1, Parts: []Part{{"s", 1}}},
+			{Name: "q", Host: "h", Prefix: "/a/b/", Kind: Unsafe, Timeout: 1, Parts: []Part{{"s", 1}}},
 		},
 	}, err
 }
@@ -166,6 +166,8 @@
 		Entry("no host", func(c *Config) { c.Routes[0].Host = "" }),
 		Entry("odd kind", func(c *Config) { c.Routes[0].Kind = "odd" }),
 		Entry("shared key", func(c *Config) { c.Accounts = append(c.Accounts, Account{Name: "y", Keys: []string{"k"}}) }),
+		Entry("no timeout", func(c *Config) { c.Routes[0].Timeout = 0 }),
+		Entry("two routes at one place", func(c *Config) { c.Routes[0].Prefix = c.Routes[1].Prefix }),
 		Entry("nameless service", func(c *Config) { c.Services[0].Name = "" }),
 		Entry("nameless account", func(c *Config) { c.Accounts[0].Name = "" }),
 	)
--- a/catalog/problem.go
+++ b/catalog/problem.go
@@ -20,10 +20,15 @@
 		}
 		services[s.Name] = true
 	}
+	places := map[string]string{}
 	for _, r := range c.Routes {
 		if err := r.validate(services); err != nil {
 			return err
 		}
+		if o, ok := places[r.Host+r.Prefix]; ok {
+			return Invalid{"route " + r.Name, "has the place of route " + o}
+		}
+		places[r.Host+r.Prefix] = r.Name
 	}
 	return c.validateKeys()
 }
@@ -57,6 +62,9 @@
 	default:
 		return Invalid{item, "has the unknown kind " + string(r.Kind)}
 	}
+	if r.Timeout <= 0 {
+		return Invalid{item, "has no timeout"}
+	}
 	sum := 0
 	for _, p := range r.Parts {
 		if !services[p.Service] {
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -28,7 +28,7 @@
 	return &catalog.Config{
 		Version: v, Services: []catalog.Service{{Name: "s"}},
 		Accounts: []catalog.Account{{Name: "x", Keys: []string{"k"}, Rate: 10, Burst: 10}},
-		Routes:   []catalog.Route{{Name: "r", Host: "h", Prefix: "/", Kind: catalog.Unsafe, Parts: []catalog.Part{{Service: "s", Weight: 1}}}},
+		Routes:   []catalog.Route{{Name: "r", Host: "h", Prefix: "/", Kind: catalog.Unsafe, Timeout: 1000, Parts: []catalog.Part{{Service: "s", Weight: 1}}}},
 	}, nil
 }
 
--- a/coordinator/lender.go
+++ b/coordinator/lender.go
@@ -58,9 +58,9 @@
 	}
 	for _, a := range c.Accounts {
 		if p := l.purses[a.Name]; p != nil {
-			p.Ahead = 1 + int(a.Rate*purseShare)
+			p.Ahead = int(a.Rate * purseShare)
 		} else {
-			l.purses[a.Name] = &share.Purse{Ahead: 1 + int(a.Rate*purseShare)}
+			l.purses[a.Name] = &share.Purse{Ahead: int(a.Rate * purseShare)}
 		}
 		if b := l.buckets[a.Name]; b != nil {
 			b.Rate, b.Burst = a.Rate, a.Burst
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -24,7 +24,12 @@
 	// digestInterval is the pause between digests of a zone.
 	digestInterval = 1 * clock.Second
 	// gatherFor is the time for which changes are gathered into one datagram.
-	gatherFor   = 10 * clock.Millis(1)
+	gatherFor = 10 * clock.Millis(1)
+	// closePeers is the number of hosts in a zone up to which they tell each
+	// other of each request, farPeers the number in all zones up to which all
+	// are told of a change of trust.
+	closePeers  = 6
+	farPeers    = 40
 	datagramMax = 1200
 	markSize    = 4
 )
@@ -71,14 +76,16 @@
 func (g *gossip) loop() {
 	for range g.dirty {
 		time.Sleep(gatherFor.Duration())
-		g.send(partial, g.view.changedEvidence(g.clock.Now()), g.view.peers(false))
+		if l := g.view.peers(false); len(l) <= closePeers {
+			g.send(partial, g.view.changedEvidence(g.clock.Now()), l)
+		}
 	}
 }
 
 func (g *gossip) digestLoop() {
 	for {
 		time.Sleep(digestInterval.Duration())
-		if l := g.view.peers(false); len(l) > 0 && l[0].ID == g.settings.ID {
+		if l := g.view.peers(false); len(l) > 0 && len(l) <= closePeers && l[0].ID == g.settings.ID {
 			g.send(digest, g.view.digest(g.clock.Now()), g.view.otherZones())
 		}
 	}
@@ -87,7 +94,11 @@
 // alarm tells all hosts at once that a target failed or recovered.
 func (g *gossip) alarm(service, id string) {
 	if e, ok := g.view.evidenceOf(g.clock.Now(), service, id); ok {
-		g.send(partial, []balance.Evidence{e}, g.view.peers(true))
+		l := g.view.peers(true)
+		if len(l) > farPeers {
+			l = g.view.peers(false)
+		}
+		g.send(partial, []balance.Evidence{e}, l)
 	}
 }
 
--- a/edge/host.go
+++ b/edge/host.go
@@ -61,7 +61,7 @@
 func (h *Host) Run() error {
 	h.started = h.Clock.Now()
 	h.metrics = newMetrics()
-	h.view = &view{zone: h.Settings.Zone, retry: h.Settings.Retry, random: rand.IntN, log: h.Log}
+	h.view = &view{zone: h.Settings.Zone, self: h.Settings.ID, retry: h.Settings.Retry, random: rand.IntN, log: h.Log}
 	h.view.run()
 	peers := &wire.Pool{Secret: h.Settings.Secret}
 	h.tokens = &tokens{clock: h.Clock, hosts: h.view.activeCount}
--- a/edge/tokens.go
+++ b/edge/tokens.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// purseShare is the part of an account's rate that a host holds ahead.
-	purseShare = 0.025
+	// purseShare is the part of a second's rate that all hosts together hold
+	// ahead.
+	purseShare = 0.3
 	// fallbackShare is the part of its share of a rate that a host uses while
 	// nobody lends.
 	fallbackShare = 0.7
@@ -53,7 +54,7 @@
 		p.fallback.Run(now, 1)
 		t.accounts[a.Name] = p
 	}
-	p.Ahead = 1 + int(a.Rate*purseShare)
+	p.Ahead = int(a.Rate * purseShare / float64(max(t.hosts(), 1)))
 	return p
 }
 
--- a/edge/view.go
+++ b/edge/view.go
@@ -16,7 +16,9 @@
 // view is what a host believes: the catalog, how current it is, the other
 // hosts, and the state of the targets.
 type view struct {
-	zone   string
+	zone string
+	// self is the host's ID.
+	self   string
 	retry  RetryBudget
 	log    *zap.Logger
 	random func(n int) int
@@ -97,8 +99,13 @@
 	}
 }
 
-func (v *view) hostsHere() int {
-	return max(len(coordinator.Active(v.fleet.Hosts, v.zone)), 1)
+// hostsHere returns the IDs of the hosts of this zone that take requests.
+func (v *view) hostsHere() []string {
+	var l []string
+	for _, h := range coordinator.Active(v.fleet.Hosts, v.zone) {
+		l = append(l, h.ID)
+	}
+	return l
 }
 
 // retryDepth is this host's part of the allowance for retries.
@@ -113,7 +120,7 @@
 func (v *view) pool(service string) *balance.Pool {
 	p := v.pools[service]
 	if p == nil {
-		p = &balance.Pool{Zone: v.zone, Hosts: v.hostsHere(), Believe: v.believe}
+		p = &balance.Pool{Zone: v.zone, Self: v.self, Hosts: v.hostsHere(), Believe: v.believe}
 		p.Run()
 		v.pools[service] = p
 	}
