Ping only where nothing was answered; close connections that are not used

Hosts kept connections to each control process they had met and pinged them twice a second. Change: a connection is pinged only when no call was answered in the interval; a host closes the connection to a process that it leaves.

--- a/edge/link.go
+++ b/edge/link.go
@@ -110,6 +110,7 @@
 	}
 	home := l.home()
 	if l.core == "" || (home != "" && !l.isHome(l.core)) {
+		l.leave(l.core)
 		l.core = home
 		if home == "" {
 			l.core = pickOne(l.candidates())
@@ -119,6 +120,14 @@
 	return l.core
 }
 
+// leave closes the connection to a control process that is not asked any more:
+// it would be kept alive by pings.
+func (l *link) leave(addr string) {
+	if addr != "" {
+		l.pool.Get(addr).Close()
+	}
+}
+
 func pickOne(l []string) string {
 	if len(l) == 0 {
 		return ""
@@ -166,6 +175,7 @@
 		}
 	}
 	if n := pickOne(others); n != "" {
+		l.leave(old)
 		l.core, l.since = n, l.clock.Now()
 		l.log.Debug("control process changed", zap.String("from", old), zap.String("to", n))
 	}
--- a/wire/client.go
+++ b/wire/client.go
@@ -8,6 +8,7 @@
 	"net/rpc"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +30,8 @@
 
 	mu   sync.Mutex
 	conn *rpc.Client
+	// answered counts the calls that were answered.
+	answered atomic.Int64
 }
 
 // Call calls method and waits at most timeout. The error is a
@@ -45,6 +48,7 @@
 	k := r.Go(method, args, v.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-k.Done:
+		c.answered.Add(1)
 		if k.Error == nil {
 			reflect.ValueOf(reply).Elem().Set(v.Elem())
 		}
--- a/wire/heartbeat.go
+++ b/wire/heartbeat.go
@@ -13,8 +13,10 @@
 
 func (h *heartbeat) run() {
 	for {
+		before := h.client.answered.Load()
 		time.Sleep(heartbeatInterval.Duration())
-		if !h.ping() {
+		// An answer in the meantime tells as much as a ping.
+		if h.client.answered.Load() == before && !h.ping() {
 			h.client.drop(h.conn)
 			return
 		}
