Use the host's own tokens at once while no control process answers

Ruled out: targets (the requests that were sent ended in time), the configuration's age (below its bound until 4 s). A specification that failed before.

--- a/edge/host.go
+++ b/edge/host.go
@@ -70,7 +70,7 @@
 		settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, tokens: h.tokens, pool: peers,
 		translate: h.Translate, leaving: h.leaving.Load,
 	}
-	h.tokens.borrow = h.link.borrow
+	h.tokens.borrow, h.tokens.reachable = h.link.borrow, h.link.reachable
 	h.conns = &forward.Pool{
 		Clock: h.Clock, DialTimeout: dialTimeout, UnackedTimeout: unackedTimeout,
 		IdleTimeout: idleTimeout, FreshIdle: freshIdle,
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -249,12 +249,24 @@
 })
 
 var _ = Describe("tokens while nobody lends", func() {
+	It("are given without a question that would have to wait", func() {
+		w := newWorld()
+		c, _ := w.host.view.current(w.host.Clock.Now())
+		w.host.tokens.reachable = func() bool { return false }
+		w.host.tokens.borrow = func(coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
+			Fail("asked a process that does not answer")
+			return coordinator.BorrowReply{}, nil
+		}
+		ok, _ := w.host.tokens.take(c.Account("acc"))
+		Expect(ok).To(BeTrue())
+	})
+
 	It("are the host's own part of the rate, and no more", func() {
 		w := newWorld()
 		c, _ := w.host.view.current(w.host.Clock.Now())
 		a := c.Account("acc")
 		now := w.host.Clock.Now()
-		t := &tokens{hosts: func() int { return 10 }}
+		t := &tokens{hosts: func() int { return 10 }, reachable: func() bool { return true }}
 		t.clock.Read = func() clock.Millis { return now }
 		t.borrow = func(coordinator.BorrowArgs) (coordinator.BorrowReply, error) { return coordinator.BorrowReply{}, nil }
 		t.run()
--- a/edge/link.go
+++ b/edge/link.go
@@ -42,10 +42,12 @@
 	digest uint64
 	kicks  chan struct{}
 
-	mu     sync.Mutex
-	core   string
-	since  clock.Millis
-	usedAt clock.Millis
+	mu    sync.Mutex
+	core  string
+	since clock.Millis
+	// heardAt is when a control process answered last.
+	heardAt clock.Millis
+	usedAt  clock.Millis
 }
 
 func (l *link) run() {
@@ -69,6 +71,23 @@
 	l.mu.Unlock()
 }
 
+func (l *link) heard() {
+	l.mu.Lock()
+	l.heardAt = l.clock.Now()
+	l.mu.Unlock()
+}
+
+// silence is the time without an answer of a control process from which
+// requests do not wait for one.
+const silence = idleInterval + busyInterval
+
+// reachable reports whether a control process has answered lately.
+func (l *link) reachable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.clock.Now()-l.heardAt < silence
+}
+
 func (l *link) interval() clock.Millis {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -201,6 +220,7 @@
 		l.log.Debug("exchange failed", zap.String("core", addr), zap.Error(err))
 		return false
 	}
+	l.heard()
 	l.tokens.add(p.Grants)
 	if !p.Known || !l.apply(p.Update) {
 		return false
--- a/edge/tokens.go
+++ b/edge/tokens.go
@@ -29,6 +29,8 @@
 	clock clock.Clock
 	// borrow asks a control process.
 	borrow func(coordinator.BorrowArgs) (coordinator.BorrowReply, error)
+	// reachable reports whether a control process has answered lately.
+	reachable func() bool
 	// hosts returns the number of hosts that take requests.
 	hosts func() int
 
@@ -75,7 +77,7 @@
 		t.mu.Unlock()
 		return false, w
 	}
-	if now < t.aloneUntil {
+	if now < t.aloneUntil || !t.reachable() {
 		defer t.mu.Unlock()
 		return t.alone(now, a, p)
 	}
