--- a/edge/tokens.go
+++ b/edge/tokens.go
@@ -103,7 +103,8 @@
 // alone uses the host's own part of the rate while nobody lends.
 func (t *tokens) alone(now clock.Millis, a *catalog.Account, p *purse) (bool, clock.Millis) {
 	n := float64(max(t.hosts(), 1))
-	p.fallback.Limit(now, a.Rate*fallbackShare/n, 1+a.Rate*fallbackBurst/n)
+	// Set without a refill: what was not used since the last time counts.
+	p.fallback.Rate, p.fallback.Burst = a.Rate*fallbackShare/n, 1+a.Rate*fallbackBurst/n
 	if p.fallback.Take(now, 1) == 1 {
 		return true, 0
 	}
