--- a/balance/pool.go
+++ b/balance/pool.go
@@ -32,18 +32,6 @@
 	trusted bool
 }
 
-// Belief is a change of what the host believes of a target.
-type Belief struct {
-	Target  string
-	Trusted bool
-	// Cause is the outcome that led to it, Host the host that saw it, empty
-	// for this one.
-	Cause Outcome
-	Host  string
-	// Since is the time since the target's trust changed before.
-	Since clock.Millis
-}
-
 // Ask describes a request that needs a target.
 type Ask struct {
 	// Repeatable requests may run more than once.
@@ -121,16 +109,6 @@
 	sort.Slice(p.order, func(i, j int) bool { return p.order[i].ID < p.order[j].ID })
 }
 
-// returned treats the targets of a zone that was out as cold: they had no
-// work, and what they reported may be old.
-func (p *Pool) returned(now clock.Millis, zone string) {
-	for _, t := range p.targets {
-		if t.Zone == zone {
-			t.coldUntil = max(t.coldUntil, now+p.Service.WarmUp)
-		}
-	}
-}
-
 func hashKey(id string) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
@@ -177,33 +155,6 @@
 	}
 }
 
-// coldRoom reports whether a cold target bears one more request now. Only the
-// hosts of its own zone use it, each its part.
-func (p *Pool) coldRoom(now clock.Millis, t *target) bool {
-	if t.Zone != p.Zone {
-		return false
-	}
-	owners := max(min(len(p.Hosts), coldOwners), 1)
-	limit := int(p.Service.WarmUpRate / float64(owners))
-	return p.owns(t, owners) && t.startedWithin(now) < max(limit, 1) && t.busy(now) < t.slots()
-}
-
-// coldOwners is the largest number of hosts that use a cold target.
-const coldOwners = 3
-
-// owns reports whether this host is one of a cold target's owners: those whose
-// IDs together with the target's have the lowest hashes.
-func (p *Pool) owns(t *target, owners int) bool {
-	mine := hashKey(t.ID + "/" + p.Self)
-	before := 0
-	for _, h := range p.Hosts {
-		if k := hashKey(t.ID + "/" + h); h != p.Self && (k < mine || k == mine && h < p.Self) {
-			before++
-		}
-	}
-	return before < owners
-}
-
 // Pick chooses a target and counts the request there; Done must follow. It
 // reports false if no target has room.
 func (p *Pool) Pick(now clock.Millis, a Ask) (Choice, bool) {
@@ -267,136 +218,6 @@
 	return best
 }
 
-// The parts of a target's cost, in shares of a request's worth.
-const (
-	costSick = 0.8
-	// costUnknown is the risk of a target not heard from, costAge how fast
-	// the risk grows after an answer, a second.
-	costUnknown  = 0.28
-	costAge      = 0.13
-	costBusy     = 0.02
-	costNearFull = 0.04
-	costQueued   = 0.25
-	costZone     = 0.09
-	costBulky    = 0.6
-	costCold     = 0.1
-	costSlow     = 0.1
-	costSlowMost = 0.5
-)
-
-// costLacks is the risk of a target by the answers that it lacks: each answer
-// in a row makes it less likely that the spell goes on.
-var costLacks = [trustedAfter + 1]float64{0, 0.06, 0.17, 0.45, costSick}
-
-func (p *Pool) cost(now clock.Millis, t *target, a Ask) float64 {
-	c := p.risk(now, t)
-	b, s := t.busy(now), t.slots()
-	c += costBusy * float64(b)
-	if b == s-1 {
-		c += costNearFull
-	}
-	if b >= s {
-		c += costQueued * float64(b-s+1) / float64(s)
-	}
-	if t.Zone != p.Zone {
-		c += costZone
-		if a.Bulky {
-			c += costBulky
-		}
-	}
-	if t.cold(now) {
-		c += costCold
-	}
-	if r := t.latency / max(p.typical, 1); r > 2 {
-		c += min(costSlow*(r-1), costSlowMost)
-	}
-	return c
-}
-
-// risk is the chance that the target fails the next request.
-func (p *Pool) risk(now clock.Millis, t *target) float64 {
-	if t.lacks > 0 {
-		return costLacks[min(t.lacks, trustedAfter)]
-	}
-	at := t.seenAt(now)
-	if at == 0 {
-		return costUnknown
-	}
-	return min(costUnknown, costAge*float64(now-at)/float64(clock.Second))
-}
-
-// Done notes how a request ended that Pick had counted.
-func (p *Pool) Done(now clock.Millis, id string, r Result) {
-	t := p.targets[id]
-	if t == nil {
-		return
-	}
-	t.mine = max(0, t.mine-1)
-	t.probing = false
-	t.changed = true
-	if r.Load.Known {
-		t.load, t.loadAt = r.Load, now
-	}
-	if r.Cold > 0 {
-		t.coldUntil = now + r.Cold
-	}
-	p.judge(now, t, r)
-}
-
-// Overdue notes that a target has not answered a request in the usual time.
-func (p *Pool) Overdue(now clock.Millis, id string) {
-	if t := p.targets[id]; t != nil {
-		defer p.believe(now, t, t.lacks == 0, TimedOut, "")
-		t.fail(now, 1)
-		t.changed = true
-	}
-}
-
-// believe tells of a change of trust.
-func (p *Pool) believe(now clock.Millis, t *target, before bool, o Outcome, host string) {
-	if p.Believe == nil || before == (t.lacks == 0) {
-		return
-	}
-	p.Believe(now, Belief{Target: t.ID, Trusted: !before, Cause: o, Host: host, Since: now - t.turnedAt})
-	t.turnedAt = now
-}
-
-func (p *Pool) judge(now clock.Millis, t *target, r Result) {
-	defer p.believe(now, t, t.lacks == 0, r.Outcome, "")
-	switch r.Outcome {
-	case Served:
-		if t.refused {
-			t.refused = false
-			t.coldUntil = max(t.coldUntil, now+p.Service.WarmUp)
-		}
-		t.succeed(now - r.Took)
-		p.timed(t, float64(r.Took))
-	case Failed:
-		t.fail(now, min(t.fails+2, trustedAfter))
-	case Broken, TimedOut:
-		t.fail(now, trustedAfter)
-	case Unreached:
-		t.refused = true
-		t.fail(now, trustedAfter)
-	case Misdirected:
-		t.gone = true
-	case Shed:
-		t.load, t.loadAt = Load{Known: true, Running: t.slots() + queueBeyond}, now
-	}
-}
-
-// timed averages latencies of the target and of the service.
-func (p *Pool) timed(t *target, took float64) {
-	if t.latency == 0 {
-		t.latency = took
-	}
-	if p.typical == 0 {
-		p.typical = took
-	}
-	t.latency += latencyWeight * (took - t.latency)
-	p.typical += latencyWeight / 4 * (took - p.typical)
-}
-
 // Typical returns the average time of an answer, zero if none is known.
 func (p *Pool) Typical() clock.Millis { return clock.Millis(p.typical) }
 
--- a/coordinator/dump.go
+++ b/coordinator/dump.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"net/http"
+
+	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/clock"
 )
 
 // ServeState writes the state of the process as JSON.
@@ -16,3 +19,36 @@
 	// A reader that has left has no use for the rest.
 	_ = json.NewEncoder(w).Encode(d)
 }
+
+// Dump is the state of a control process for a person.
+type Dump struct {
+	ID       string                    `json:"id"`
+	Role     string                    `json:"role"`
+	Term     uint64                    `json:"term"`
+	Leader   string                    `json:"leader"`
+	Sequence uint64                    `json:"sequence"`
+	Version  uint64                    `json:"version"`
+	AgeMs    clock.Millis              `json:"ageMillis"`
+	Voters   map[string]string         `json:"voters"`
+	Learners map[string]string         `json:"learners"`
+	Hosts    int                       `json:"hosts"`
+	Targets  map[string]catalog.Target `json:"targets"`
+	ZonesOut map[string]bool           `json:"zonesOut"`
+}
+
+func (r *Replica) dump(now clock.Millis) Dump {
+	m := r.node.Members()
+	t := make(map[string]catalog.Target, len(r.state.Targets))
+	for id, x := range r.state.Targets {
+		t[id] = x
+	}
+	z := map[string]bool{}
+	for n := range r.state.ZonesOut {
+		z[n] = true
+	}
+	return Dump{
+		ID: r.ID, Role: string(r.node.Role()), Term: r.node.Term(), Leader: r.node.LeaderID(),
+		Sequence: r.state.Sequence, Version: r.state.Version, AgeMs: now - r.freshAt,
+		Voters: m.Voters, Learners: m.Learners, Hosts: len(r.fleet.told.Hosts), Targets: t, ZonesOut: z,
+	}
+}
