--- a/balance/pool.go
+++ b/balance/pool.go
@@ -106,7 +106,16 @@
 	for _, t := range p.targets {
 		p.order = append(p.order, t)
 	}
-	sort.Slice(p.order, func(i, j int) bool { return p.order[i].ID < p.order[j].ID })
+	// Each host has an order of its own, so that hosts that know nothing yet
+	// do not all begin with the same target.
+	sort.Slice(p.order, func(i, j int) bool { return p.rank(p.order[i].ID) < p.rank(p.order[j].ID) })
+}
+
+// rank orders targets for this host.
+func (p *Pool) rank(id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(p.Self + "/" + id))
+	return h.Sum64()
 }
 
 func hashKey(id string) uint32 {
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -206,6 +206,19 @@
 		Expect(p.targets["a1"].cold(20 + 3000)).To(BeFalse())
 	})
 
+	It("begins with another target than other hosts do while nothing is known", func() {
+		first := map[string]bool{}
+		for _, h := range []string{"h1", "h2", "h3", "h4", "h5", "h6"} {
+			p := newPool("a")
+			p.Self = h
+			p.Set(0, testTargets("a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"), nil)
+			c, ok := p.Pick(1, unsafe)
+			Expect(ok).To(BeTrue())
+			first[c.ID] = true
+		}
+		Expect(len(first)).To(BeNumerically(">=", 3))
+	})
+
 	It("counts a target as cold after its address refused connections", func() {
 		p := newPool("a", "a1")
 		run(p, 10, unsafe, Unreached, 1)
