Refuse an answer that is larger than the buffer instead of cutting it

Found on rereading: an answer of 4 MiB or more was cut there and passed on as whole, with its seal, and its target kept the request counted as under way. docs/PLATFORM.md said that such answers are refused, which was not true. A specification that fails on the code before (200) and passes now (502).

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -128,6 +128,9 @@
 	if err == nil {
 		err = a.check()
 	}
+	if err == nil && len(b) == bufferedAnswer {
+		err = Garbled{"larger than " + strconv.Itoa(bufferedAnswer-1) + " bytes"}
+	}
 	if err != nil {
 		if a.context.Err() != nil {
 			a.end(a.givenUp())
@@ -141,9 +144,7 @@
 	if a.response.StatusCode >= http.StatusInternalServerError {
 		o = balance.Failed
 	}
-	if len(b) < bufferedAnswer {
-		a.end(o)
-	}
+	a.end(o)
 	return nil, o == balance.Failed && c.idempotent()
 }
 
--- a/edge/call.go
+++ b/edge/call.go
@@ -144,15 +144,20 @@
 	"Content-Length": true, "Expect": true,
 }
 
-// outgoing returns the request for a target.
-func (c *call) outgoing(target string) *http.Request {
-	h := make(http.Header, len(c.r.Header)+4)
-	named := c.r.Header.Values("Connection")
-	for k, v := range c.r.Header {
+// copyHeader copies the headers that do not belong to one connection.
+func copyHeader(to, from http.Header) {
+	named := from.Values("Connection")
+	for k, v := range from {
 		if !hopByHop[k] && !listed(named, k) {
-			h[k] = v
+			to[k] = v
 		}
 	}
+}
+
+// outgoing returns the request for a target.
+func (c *call) outgoing(target string) *http.Request {
+	h := make(http.Header, len(c.r.Header)+4)
+	copyHeader(h, c.r.Header)
 	n := c.host.Headers
 	h.Del(n.Key)
 	h.Del(n.Account)
--- a/edge/host.go
+++ b/edge/host.go
@@ -195,12 +195,7 @@
 // deliver passes a whole answer on.
 func (c *call) deliver(a *attempt) {
 	h := c.w.Header()
-	named := a.response.Header.Values("Connection")
-	for k, v := range a.response.Header {
-		if !hopByHop[k] && !listed(named, k) {
-			h[k] = v
-		}
-	}
+	copyHeader(h, a.response.Header)
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	if _, ok := h["Content-Type"]; !ok {
 		// A nil value keeps the library from guessing one.
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -196,6 +197,14 @@
 		Entry("cut chunks", "HTTP/1.1 200 OK\r\nReq-Id: ID\r\nSeal: x\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n5\r\nhello\r\n"),
 	)
 
+	It("larger than the host buffers is refused, not cut", func() {
+		body := strings.Repeat("x", bufferedAnswer+1)
+		w := newWorld(newStandin("t1", "HTTP/1.1 200 OK\r\nReq-Id: ID\r\nSeal: x\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body))
+		a := w.post("/unsafe/", "b")
+		Expect(a.status).To(Equal(502))
+		Expect(a.header.Get("Seal")).To(BeEmpty())
+	})
+
 	It("to an earlier request is skipped", func() {
 		late := "HTTP/1.1 200 OK\r\nReq-Id: other\r\nSeal: o\r\nContent-Length: 5\r\n\r\nwrong"
 		w := newWorld(newStandin("t1", late+ok))
--- a/edge/view.go
+++ b/edge/view.go
@@ -18,9 +18,10 @@
 type view struct {
 	zone string
 	// self is the host's ID.
-	self   string
-	retry  RetryBudget
-	log    *zap.Logger
+	self  string
+	retry RetryBudget
+	log   *zap.Logger
+	// random returns a number in [0, n).
 	random func(n int) int
 
 	mu      sync.Mutex
@@ -42,6 +43,7 @@
 	v.fleet = &coordinator.Fleet{}
 }
 
+// current returns the configuration and the age of its newest proof; nil if
 // there is none.
 func (v *view) current(now clock.Millis) (*catalog.Config, clock.Millis) {
 	v.mu.Lock()
@@ -143,7 +145,7 @@
 	return b
 }
 
-// part chooses the service of a request on a route by the weights, in turn.
+// part draws the service of a request on a route by the weights.
 func (v *view) part(r *catalog.Route) string {
 	if len(r.Parts) == 1 {
 		return r.Parts[0].Service
@@ -196,6 +198,7 @@
 	return v.budget(service).Spend()
 }
 
+// typical returns the usual time of an answer of a service.
 func (v *view) typical(service string) clock.Millis {
 	v.mu.Lock()
 	defer v.mu.Unlock()
