--- a/cmd/carawayrack/deployment.go
+++ b/cmd/carawayrack/deployment.go
@@ -25,18 +25,42 @@
 	readTimeout = 5 * time.Second
 )
 
-// deploymentFlags are the flags of processes on the platform.
-type deploymentFlags struct {
-	level, metrics string
+// process is what processes on the platform have in common.
+type process struct {
+	role     string
+	metrics  string
+	log      *zap.Logger
+	settings platform.Settings
 }
 
-func parseDeployment(name, usage string, args []string) (deploymentFlags, int, bool) {
-	var d deploymentFlags
-	f := command.Flags(name, usage)
-	f.StringVar(&d.level, "log", "info", "lowest level to log: debug, info, warn or error")
-	f.StringVar(&d.metrics, "metrics", ":9180", "address for metrics and the state")
-	code, ok := command.Parse(f, args)
-	return d, code, ok
+// runProcess reads the flags and the settings, starts a process and serves
+// its state until it is told to stop.
+func runProcess(role, usage string, args []string, start func(*process) (state http.HandlerFunc, stop func(), err error)) int {
+	p := &process{role: role}
+	f := command.Flags(role, usage)
+	level := f.String("log", "info", "lowest level to log: debug, info, warn or error")
+	f.StringVar(&p.metrics, "metrics", ":9180", "address for metrics and the state")
+	if code, ok := command.Parse(f, args); !ok {
+		return code
+	}
+	var err error
+	if p.log, _, err = logs.NewStream(os.Stdout, *level); err != nil {
+		return command.Fail(err)
+	}
+	if p.settings, err = platform.Load(); err != nil {
+		return command.Fail(err)
+	}
+	state, stop, err := start(p)
+	if err != nil {
+		return command.Fail(err)
+	}
+	m := &metricsServer{p.metrics, p.log, state}
+	go m.run()
+	p.log.Info("started", zap.String("role", role), zap.String("version", version))
+	awaitEnd(p.log)
+	stop()
+	p.log.Info("stopped")
+	return command.OK
 }
 
 // metricsServer serves counters and the state of a process.
@@ -54,67 +78,29 @@
 	m.log.Error("metrics are not served", zap.Error(s.ListenAndServe()))
 }
 
-func runEdge(args []string) int {
-	d, code, ok := parseDeployment("edge", usageEdge, args)
-	if !ok {
-		return code
-	}
-	l, _, err := logs.NewStream(os.Stdout, d.level)
-	if err != nil {
-		return command.Fail(err)
-	}
-	s, err := platform.Load()
-	if err != nil {
-		return command.Fail(err)
-	}
+func runEdge(args []string) int { return runProcess("edge", usageEdge, args, startEdge) }
+
+func startEdge(p *process) (http.HandlerFunc, func(), error) {
 	h := &edge.Host{
-		Settings: s.Host(), Headers: platform.Headers(), Clock: clock.Boot(), Log: l,
+		Settings: p.settings.Host(), Headers: platform.Headers(), Clock: clock.Boot(), Log: p.log,
 		Translate: platform.Translate, ReadyPath: platform.ReadyPath,
 	}
 	if err := h.Run(); err != nil {
-		return command.Fail(err)
-	}
-	y := &platform.Directory{Settings: s, Host: h, Log: l}
-	if err := y.Run(); err != nil {
-		return command.Fail(err)
+		return nil, nil, err
 	}
-	m := &metricsServer{d.metrics, l, h.ServeState}
-	go m.run()
-	l.Info("started", zap.String("role", "edge"), zap.String("version", version))
-	awaitEnd(l)
-	h.Stop()
-	l.Info("stopped")
-	return command.OK
+	d := &platform.Directory{Settings: p.settings, Host: h, Log: p.log}
+	return h.ServeState, h.Stop, d.Run()
 }
 
-func runCore(args []string) int {
-	d, code, ok := parseDeployment("core", usageCore, args)
-	if !ok {
-		return code
-	}
-	l, _, err := logs.NewStream(os.Stdout, d.level)
-	if err != nil {
-		return command.Fail(err)
-	}
-	s, err := platform.Load()
-	if err != nil {
-		return command.Fail(err)
-	}
-	c := &coordinator.Coordinator{Settings: s.Control(), Log: l, Translate: platform.Translate}
+func runCore(args []string) int { return runProcess("core", usageCore, args, startCore) }
+
+func startCore(p *process) (http.HandlerFunc, func(), error) {
+	c := &coordinator.Coordinator{Settings: p.settings.Control(), Log: p.log, Translate: platform.Translate}
 	if err := c.Run(); err != nil {
-		return command.Fail(err)
+		return nil, nil, err
 	}
-	p := &platform.Server{Settings: s, Coordinator: c, Log: l}
-	if err := p.Run(); err != nil {
-		return command.Fail(err)
-	}
-	m := &metricsServer{d.metrics, l, c.ServeState}
-	go m.run()
-	l.Info("started", zap.String("role", "core"), zap.String("version", version))
-	awaitEnd(l)
-	c.Stop()
-	l.Info("stopped")
-	return command.OK
+	s := &platform.Server{Settings: p.settings, Coordinator: c, Log: p.log}
+	return c.ServeState, c.Stop, s.Run()
 }
 
 // awaitEnd returns when the process is told to stop. Settings that may change
