Record the departure of a target that is not known yet

A departure names no incarnation. That of a target whose first announcement was not accepted yet was confirmed without an entry in the log; the announcement arrived 2.1 s later and brought the target back. The same holds where only an earlier incarnation was known.

Ruled out: a control process that was cut off (it confirmed 1.5 s before the cut), hosts that fell behind (they held the newest state).

Change: a departure without an incarnation ends all that was started up to a second before, by the time of day of the process that takes it, whether known or not.

Two specifications fail without the change.

--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/wire"
 )
 
@@ -281,6 +282,38 @@
 		Expect(d.Targets["t"].Phase).To(Equal(catalog.Gone))
 	})
 
+	It("that come after their target has left do not bring it back, also where it was not known", func() {
+		c := newCluster(3)
+		wall := clock.Millis(100_000)
+		for _, x := range c.nodes {
+			x.Wall.Read = func() clock.Millis { return wall }
+		}
+		Eventually(func() error { return c.nodes[0].Leave("t", 0) }, patience).Should(Succeed())
+		late := testTarget("t", 98_000, 1)
+		Eventually(func() error { _, err := c.nodes[1].Announce(late); return err }, patience).Should(Succeed())
+		d, err := c.nodes[c.leader()].State()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Targets["t"].Phase).To(Equal(catalog.Gone))
+		again := testTarget("t", 102_000, 1)
+		Eventually(func() error { _, err := c.nodes[1].Announce(again); return err }, patience).Should(Succeed())
+		d, err = c.nodes[c.leader()].State()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Targets["t"].Phase).To(Equal(catalog.Serving))
+	})
+
+	It("of the incarnation that has left do not bring it back where an earlier one was known", func() {
+		c := newCluster(3)
+		for _, x := range c.nodes {
+			x.Wall.Read = func() clock.Millis { return 100_000 }
+		}
+		Eventually(func() error { _, err := c.nodes[0].Announce(testTarget("t", 50_000, 9)); return err }, patience).Should(Succeed())
+		Eventually(func() error { return c.nodes[0].Leave("t", 0) }, patience).Should(Succeed())
+		Eventually(func() error { _, err := c.nodes[1].Announce(testTarget("t", 98_000, 1)); return err }, patience).Should(Succeed())
+		d, err := c.nodes[c.leader()].State()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Targets["t"].Phase).To(Equal(catalog.Gone))
+	})
+
 	It("of a departure do not end a later start under the same name", func() {
 		c := newCluster(3)
 		Eventually(func() error { _, err := c.nodes[0].Announce(testTarget("t", 9, 1)); return err }, patience).Should(Succeed())
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/clock"
 )
 
 // Unavailable is the error of a question that could not be decided: its
@@ -59,14 +60,17 @@
 // Document returns the configuration in force as operators sent it, nil if
 // there is none. It is proved to be the newest; the error is Unavailable.
 func (c *Coordinator) Document() ([]byte, error) {
-	since := c.clock.Now()
-	h, err := ask[heldDocument](c, &proof{Since: since})
+	h, err := ask[heldDocument](c, &proof{Since: c.after()})
 	if err != nil || h.Document == nil {
 		return nil, err
 	}
 	return catalog.Expand(h.Document)
 }
 
+// after is the first point in time that is surely later than now: times are
+// cut to milliseconds, and a proof of this one may have begun before.
+func (c *Coordinator) after() clock.Millis { return c.clock.Now() + 1 }
+
 // Evacuate takes a zone out, or back in, and returns once that is accepted.
 func (c *Coordinator) Evacuate(zone string, out bool) error {
 	if out {
@@ -88,26 +92,32 @@
 // lastNumber orders a departure after every announcement of its incarnation.
 const lastNumber = 1 << 62
 
+// bornMargin is how long before its departure a target was started at least:
+// the clocks of machines differ, and one that comes back under the same ID
+// must not be taken for the one that left.
+const bornMargin = 1 * clock.Second
+
 // Leave notes that a target has left and returns once hosts will know. A born
-// of zero stands for the incarnation that is known.
+// of zero stands for the incarnation that runs now: its announcements may
+// still be on their way, and must not bring it back.
 func (c *Coordinator) Leave(id string, born int64) error {
-	if born == 0 {
+	unknown := born == 0
+	if unknown {
 		// The newest announcement may not have reached this replica yet.
-		if _, err := ask[heldDocument](c, &proof{Since: c.clock.Now()}); err != nil {
+		if _, err := ask[heldDocument](c, &proof{Since: c.after()}); err != nil {
 			return err
 		}
+		born = int64(c.Wall.Now() - bornMargin)
 	}
 	n, err := ask[newsReply](c, &news{catalog.Target{ID: id}})
 	if err != nil {
 		return err
 	}
 	t := n.Known
-	if born > t.Born {
-		t.Born = born
-	}
-	if t.Born == 0 || (born > 0 && born < t.Born) || t.Phase == catalog.Gone {
+	if born < t.Born && (!unknown || t.Phase == catalog.Gone) {
 		return nil
 	}
+	t.Born = max(t.Born, born)
 	t.ID, t.Phase, t.Number = id, catalog.Gone, lastNumber
 	return c.submit(catalog.Change{Targets: []catalog.Target{t}})
 }
