Prove reads by a round that begins after the question

Times are cut to milliseconds, so that a round that ended before the question, in the same millisecond, counted as proof.

Reads wait up to one tick (25 ms) longer.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -24,6 +24,8 @@
 	Settings  Settings
 	Log       *zap.Logger
 	Translate func([]byte) (*catalog.Config, error)
+	// Wall reads the time of day, the system's if it is not set.
+	Wall clock.Clock
 
 	clock  clock.Clock
 	actors *actor.ActorSystem
@@ -48,6 +50,9 @@
 // Run opens the disk and starts to serve.
 func (c *Coordinator) Run() error {
 	c.clock = clock.Boot()
+	if c.Wall.Read == nil {
+		c.Wall = clock.Wall()
+	}
 	c.stopped = make(chan struct{})
 	c.failed = make(chan error, 1)
 	c.kicks = make(chan struct{}, 1)
--- a/coordinator/proof.go
+++ b/coordinator/proof.go
@@ -40,6 +40,19 @@
 	}
 }
 
+// probe asks for a proof for those that wait for one.
+func (r *Replica) probe(now clock.Millis) {
+	if r.node.Role() != replica.Leader {
+		return
+	}
+	for _, x := range r.readers {
+		if now >= x.since && r.node.LastBeat().At < x.since {
+			r.node.Probe(now)
+			return
+		}
+	}
+}
+
 func (r *Replica) answerReaders(now clock.Millis) {
 	rest := r.readers[:0]
 	for _, x := range r.readers {
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -78,6 +78,7 @@
 		r.start(now)
 	case *tick:
 		r.node.Tick(now)
+		r.probe(now)
 		r.review(now)
 	case *deliver:
 		for _, x := range m.Messages {
@@ -111,9 +112,6 @@
 		c.Respond(heldDocument{Version: r.state.Version, Document: r.state.Document})
 	case *proof:
 		r.readers = append(r.readers, &reader{sender: c.Sender(), since: m.Since})
-		if r.node.Role() == replica.Leader {
-			r.node.Probe(now)
-		}
 	case *dump:
 		c.Respond(r.dump(now))
 	}
