Let hosts of a large zone own few targets each

Each saw a target once in many seconds, hosts told each other nothing of single requests, and all of them sent what must not be repeated to the few targets that were known to have answered last. Sick targets were never tried: a host's part of the budget for retries is 1.33, and requests try sick targets only from 2 on.

Change: rendezvous hashing gives each target of a large zone several owners that use it first and tell each other of each request. Hosts take over what owners say of other targets, as trust only. A target that a host cannot reach at all lacks one answer to others, not four. The first owner tells other zones. A small part of the budget lets requests try sick targets.

--- a/balance/cold.go
+++ b/balance/cold.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"slices"
+
 	"github.com/carawayrack/carawayrack/clock"
 )
 
@@ -20,23 +22,10 @@
 	if t.Zone != p.Zone {
 		return false
 	}
-	owners := max(min(len(p.Hosts), coldOwners), 1)
-	limit := int(p.Service.WarmUpRate / float64(owners))
-	return p.owns(t, owners) && t.startedWithin(now) < max(limit, 1) && t.busy(now) < t.slots()
-}
-
-// coldOwners is the largest number of hosts that use a cold target.
-const coldOwners = 3
-
-// owns reports whether this host is one of a cold target's owners: those whose
-// IDs together with the target's have the lowest hashes.
-func (p *Pool) owns(t *target, owners int) bool {
-	mine := hashKey(t.ID + "/" + p.Self)
-	before := 0
-	for _, h := range p.Hosts {
-		if k := hashKey(t.ID + "/" + h); h != p.Self && (k < mine || k == mine && h < p.Self) {
-			before++
-		}
+	if !p.listed {
+		return false
 	}
-	return before < owners
+	l := t.owners[:min(len(t.owners), coldOwners)]
+	limit := int(p.Service.WarmUpRate / float64(max(len(l), 1)))
+	return slices.Contains(l, p.Self) && t.startedWithin(now) < max(limit, 1) && t.busy(now) < t.slots()
 }
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -15,6 +15,15 @@
 	costNearFull = 0.04
 	costQueued   = 0.25
 	costZone     = 0.09
+	// costForeign is the cost of a target of the zone that other hosts own.
+	costForeign = 0.15
+	// costFar is added for a target of another zone where hosts know little of
+	// those.
+	costFar = 0.2
+	// costUnheard is the most that the risk of a target grows to where hosts
+	// own few targets each: the next request finds out, and the target that
+	// answered last must not get the requests of all hosts.
+	costUnheard  = 0.1
 	costBulky    = 0.6
 	costCold     = 0.1
 	costSlow     = 0.1
@@ -35,6 +44,12 @@
 	if b >= s {
 		c += costQueued * float64(b-s+1) / float64(s)
 	}
+	if t.Zone == p.Zone && !t.own {
+		c += costForeign
+	}
+	if t.Zone != p.Zone && p.Large() {
+		c += costFar
+	}
 	if t.Zone != p.Zone {
 		c += costZone
 		if a.Bulky {
@@ -55,9 +70,13 @@
 	if t.lacks > 0 {
 		return costLacks[min(t.lacks, trustedAfter)]
 	}
+	most := costUnknown
+	if p.Large() {
+		most = costUnheard
+	}
 	at := t.seenAt(now)
-	if at == 0 {
-		return costUnknown
+	if at == 0 || p.Large() && !t.own {
+		return most
 	}
-	return min(costUnknown, costAge*float64(now-at)/float64(clock.Second))
+	return min(most, costAge*float64(now-at)/float64(clock.Second))
 }
--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -17,7 +17,10 @@
 }
 
 const (
-	never = 0xffff
+	// hearsay is the number of answers that clear a target which only another
+	// host cannot reach.
+	hearsay = 1
+	never   = 0xffff
 	// sameTime is the difference of ages below which two hosts may have seen
 	// the same moment.
 	sameTime     = 5 * clock.Millis(1)
@@ -56,25 +59,54 @@
 }
 
 // Changed returns evidence on the targets whose state has changed since the
-// last call.
-func (p *Pool) Changed(now clock.Millis) []Evidence {
-	var l []Evidence
+// last call, by the hosts to tell: the owners, or all hosts of a small zone.
+func (p *Pool) Changed(now clock.Millis) map[string][]Evidence {
+	m := map[string][]Evidence{}
 	for _, t := range p.order {
 		if !t.changed {
 			continue
 		}
 		t.changed = false
+		to := t.owners
+		if !p.Large() {
+			to = p.hosts
+		}
+		for _, h := range to {
+			if h != p.Self {
+				m[h] = append(m[h], t.evidence(now))
+			}
+		}
+	}
+	return m
+}
+
+// Turned returns evidence on the targets that this host owns first and whose
+// trust has changed since the last call.
+func (p *Pool) Turned(now clock.Millis) []Evidence {
+	var l []Evidence
+	for _, t := range p.turned {
 		l = append(l, t.evidence(now))
 	}
+	p.turned = nil
 	return l
 }
 
+// Owned returns the evidence on the targets that this host owns first, with
+// the number of requests that they are known to hold.
+func (p *Pool) Owned(now clock.Millis) []Evidence {
+	return p.summary(now, p.first)
+}
+
 // Digest returns the evidence on all targets of the own zone, with the number
 // of requests that they are known to hold.
 func (p *Pool) Digest(now clock.Millis) []Evidence {
+	return p.summary(now, func(t *target) bool { return t.Zone == p.Zone })
+}
+
+func (p *Pool) summary(now clock.Millis, of func(*target) bool) []Evidence {
 	var l []Evidence
 	for _, t := range p.order {
-		if t.Zone == p.Zone && t.Phase == catalog.Serving {
+		if t.Phase == catalog.Serving && of(t) {
 			e := t.evidence(now)
 			e.Busy = uint8(min(t.busy(now), 255))
 			l = append(l, e)
@@ -83,17 +115,18 @@
 	return l
 }
 
-// From reports whether evidence is on a target of a zone.
-func (p *Pool) From(e Evidence, zone string) bool {
+// Knows reports whether hosts of a zone know the target of some evidence
+// better than this one: it is theirs, and this host does not own it.
+func (p *Pool) Knows(e Evidence, zone string) bool {
 	t := p.byKey[e.Key]
-	return t != nil && t.Zone == zone
+	return t != nil && t.Zone == zone && !t.own
 }
 
-// Adopt takes over what a host of another zone says of a target of its zone:
-// it sees more of it than this one.
+// Adopt takes over what another host says of a target that this one does not
+// own: it sees more of it.
 func (p *Pool) Adopt(now clock.Millis, host string, e Evidence) bool {
 	t := p.byKey[e.Key]
-	if t == nil || t.Zone == p.Zone {
+	if t == nil || t.own {
 		return t != nil
 	}
 	defer p.believe(now, t, t.lacks == 0, Broken, host)
@@ -118,8 +151,12 @@
 }
 
 func (t *target) evidence(now clock.Millis) Evidence {
+	lacks := t.lacks
+	if t.path {
+		lacks = min(lacks, hearsay)
+	}
 	return Evidence{
-		Key: t.key, Busy: uint8(min(t.mine, 255)), Lacks: uint8(t.lacks),
+		Key: t.key, Busy: uint8(min(t.mine, 255)), Lacks: uint8(lacks),
 		OKAge: age(now, t.seenAt(now)), FailAge: age(now, t.failAt),
 	}
 }
--- a/balance/judge.go
+++ b/balance/judge.go
@@ -14,14 +14,18 @@
 	Host  string
 	// Since is the time since the target's trust changed before.
 	Since clock.Millis
+	// First is true if this host owns the target first.
+	First bool
 }
 
-// Done notes how a request ended that Pick had counted.
-func (p *Pool) Done(now clock.Millis, id string, r Result) {
+// Done notes how a request ended that Pick had counted. It reports whether
+// the target gained or lost trust by it.
+func (p *Pool) Done(now clock.Millis, id string, r Result) (turned bool) {
 	t := p.targets[id]
 	if t == nil {
-		return
+		return false
 	}
+	trusted := t.lacks == 0
 	t.mine = max(0, t.mine-1)
 	t.probing = false
 	t.changed = true
@@ -32,23 +36,36 @@
 		t.coldUntil = now + r.Cold
 	}
 	p.judge(now, t, r)
+	return trusted != (t.lacks == 0)
 }
 
 // Overdue notes that a target has not answered a request in the usual time.
-func (p *Pool) Overdue(now clock.Millis, id string) {
-	if t := p.targets[id]; t != nil {
-		defer p.believe(now, t, t.lacks == 0, TimedOut, "")
-		t.fail(now, 1)
-		t.changed = true
+// It reports whether the target lost trust by it.
+func (p *Pool) Overdue(now clock.Millis, id string) (turned bool) {
+	t := p.targets[id]
+	if t == nil {
+		return false
 	}
+	trusted := t.lacks == 0
+	defer p.believe(now, t, trusted, TimedOut, "")
+	t.fail(now, 1)
+	t.changed = true
+	return trusted
 }
 
 // believe tells of a change of trust.
 func (p *Pool) believe(now clock.Millis, t *target, before bool, o Outcome, host string) {
-	if p.Believe == nil || before == (t.lacks == 0) {
+	if before == (t.lacks == 0) {
 		return
 	}
-	p.Believe(now, Belief{Target: t.ID, Trusted: !before, Cause: o, Host: host, Since: now - t.turnedAt})
+	if p.first(t) {
+		p.turned = append(p.turned, t)
+	}
+	if p.Believe != nil {
+		p.Believe(now, Belief{
+			Target: t.ID, Trusted: !before, Cause: o, Host: host, Since: now - t.turnedAt, First: p.first(t),
+		})
+	}
 	t.turnedAt = now
 }
 
@@ -66,6 +83,9 @@
 		t.fail(now, min(t.fails+2, trustedAfter))
 	case Broken, TimedOut:
 		t.fail(now, trustedAfter)
+	case Silent:
+		t.fail(now, trustedAfter)
+		t.path = true
 	case Unreached:
 		t.refused = true
 		t.fail(now, trustedAfter)
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -16,8 +16,11 @@
 	Broken
 	// TimedOut requests had no answer in time.
 	TimedOut
-	// Unreached requests found no connection.
+	// Unreached requests were refused a connection.
 	Unreached
+	// Silent requests had no sign of the target: it may be the way there that
+	// is cut, and for this host only.
+	Silent
 	// Shed requests were refused as not run.
 	Shed
 	// Misdirected requests met another target at the address.
@@ -28,7 +31,7 @@
 
 var outcomeNames = [...]string{
 	Served: "served", Failed: "failed", Broken: "broken", TimedOut: "timedOut",
-	Unreached: "unreached", Shed: "shed", Misdirected: "misdirected", Cancelled: "cancelled",
+	Unreached: "unreached", Silent: "silent", Shed: "shed", Misdirected: "misdirected", Cancelled: "cancelled",
 }
 
 // String returns the name of the outcome in logs and metrics.
--- /dev/null
+++ b/balance/owners_test.go
@@ -0,0 +1,240 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/clock"
+)
+
+// largeZone is a zone of many hosts in virtual time. Hosts tell owners of
+// targets what they see, some milliseconds later.
+type largeZone struct {
+	hosts []string
+	pools map[string]*Pool
+	// held holds the ends of the requests at each target.
+	held map[string][]clock.Millis
+	mail []letter
+}
+
+type letter struct {
+	at       clock.Millis
+	from, to string
+	evidence []Evidence
+}
+
+// tellAfter is the time until another host has heard what one saw.
+const tellAfter = 15 * clock.Millis(1)
+
+func newLargeZone(hosts, targets int) *largeZone {
+	z := &largeZone{pools: map[string]*Pool{}, held: map[string][]clock.Millis{}}
+	var l []catalog.Target
+	for i := 0; i < targets; i++ {
+		l = append(l, testTargets(fmt.Sprintf("a%d", i))...)
+	}
+	for i := 0; i < hosts; i++ {
+		z.hosts = append(z.hosts, fmt.Sprintf("h%d", i))
+	}
+	for _, h := range z.hosts {
+		p := &Pool{Zone: "a", Self: h, Service: catalog.Service{WarmUp: 3000, WarmUpRate: 6}}
+		p.Run()
+		p.SetHosts(z.hosts)
+		p.Set(0, l, nil)
+		z.pools[h] = p
+	}
+	return z
+}
+
+// tell moves what hosts have to say.
+func (z *largeZone) tell(now clock.Millis) {
+	for _, h := range z.hosts {
+		for to, l := range z.pools[h].Changed(now) {
+			z.mail = append(z.mail, letter{now + tellAfter, h, to, l})
+		}
+	}
+	rest := z.mail[:0]
+	for _, m := range z.mail {
+		if m.at > now {
+			rest = append(rest, m)
+			continue
+		}
+		for _, e := range m.evidence {
+			z.pools[m.to].Learn(now, m.from, e)
+		}
+	}
+	z.mail = rest
+}
+
+// holds counts the requests at a target.
+func (z *largeZone) holds(now clock.Millis, id string) int {
+	k := 0
+	for _, end := range z.held[id] {
+		if end > now {
+			z.held[id][k] = end
+			k++
+		}
+	}
+	z.held[id] = z.held[id][:k]
+	return k
+}
+
+func owned(p *Pool) int {
+	n := 0
+	for _, t := range p.order {
+		if t.own {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("Owners", func() {
+	It("of a small zone are all its hosts", func() {
+		z := newLargeZone(smallZone, 9)
+		for _, h := range z.hosts {
+			Expect(owned(z.pools[h])).To(Equal(9))
+		}
+	})
+
+	It("share the targets of a large zone, so that each target has several and each host some", func() {
+		z := newLargeZone(30, 80)
+		for _, t := range z.pools["h0"].order {
+			Expect(len(t.owners)).To(BeNumerically(">=", coldOwners))
+		}
+		sum := 0
+		for _, h := range z.hosts {
+			Expect(owned(z.pools[h])).To(BeNumerically(">", 0))
+			sum += owned(z.pools[h])
+		}
+		Expect(sum / len(z.hosts)).To(BeNumerically(">=", ownTargets))
+	})
+
+	It("are the same for all hosts, and change little when one leaves", func() {
+		z := newLargeZone(30, 80)
+		p := z.pools["h3"]
+		before := map[string][]string{}
+		for _, t := range p.order {
+			before[t.ID] = t.owners
+			Expect(z.pools["h7"].targets[t.ID].owners).To(Equal(t.owners))
+		}
+		p.SetHosts(z.hosts[:29])
+		for id, l := range before {
+			kept := 0
+			for _, h := range p.targets[id].owners {
+				for _, o := range l {
+					if o == h {
+						kept++
+					}
+				}
+			}
+			Expect(kept).To(BeNumerically(">=", len(l)-1), id)
+		}
+	})
+
+	It("leave cold targets alone while the others do not know that this host takes requests", func() {
+		p := newPool("a", "a1")
+		p.SetHosts([]string{"h2", "h3"})
+		Expect(p.targets["a1"].own).To(BeTrue())
+		p.targets["a1"].coldUntil = 1000
+		_, ok := p.Pick(10, unsafe)
+		Expect(ok).To(BeFalse())
+	})
+
+	// The pattern of a grown deployment: many hosts, each with a few requests
+	// a second, and targets that are a third busy.
+	It("do not let the requests of many hosts pile up at one target", func() {
+		const rate, took, span = 290, 310, 20_000
+		z := newLargeZone(30, 80)
+		r := rand.New(rand.NewSource(1))
+		shed, all := 0, 0
+		type end struct {
+			at       clock.Millis
+			host, id string
+		}
+		var ends []end
+		for now := clock.Millis(1); now < span; now++ {
+			if now%10 == 0 {
+				z.tell(now)
+			}
+			rest := ends[:0]
+			for _, e := range ends {
+				if e.at > now {
+					rest = append(rest, e)
+					continue
+				}
+				z.pools[e.host].Done(now, e.id, Result{Outcome: Served, Took: took})
+			}
+			ends = rest
+			if r.Float64() >= rate/1000.0 {
+				continue
+			}
+			h := z.hosts[r.Intn(len(z.hosts))]
+			a := unsafe
+			if r.Intn(3) == 0 {
+				a = repeatable
+			}
+			c, ok := z.pools[h].Pick(now, a)
+			Expect(ok).To(BeTrue())
+			all++
+			// A target queues as many as four times its slots.
+			if z.holds(now, c.ID) >= 5*testSlots {
+				shed++
+			}
+			d := clock.Millis(took/2 + r.Intn(took))
+			z.held[c.ID] = append(z.held[c.ID], now+d)
+			ends = append(ends, end{now + d, h, c.ID})
+		}
+		Expect(shed*1000).To(BeNumerically("<", all), "%d of %d were shed", shed, all)
+	})
+
+	It("are preferred to a target that others say has just answered", func() {
+		z := newLargeZone(30, 80)
+		p := z.pools["h0"]
+		for _, t := range p.order {
+			if !t.own {
+				p.Adopt(1000, "h1", Evidence{Key: t.key, OKAge: 1, FailAge: never})
+			}
+		}
+		for i := clock.Millis(0); i < 10; i++ {
+			c, ok := p.Pick(1000+i, unsafe)
+			Expect(ok).To(BeTrue())
+			Expect(c.Own).To(BeTrue())
+		}
+	})
+
+	It("hear at once that a target failed, and the first of them tells other zones", func() {
+		z := newLargeZone(30, 80)
+		id := z.pools["h0"].order[0].ID
+		l := z.pools["h0"].targets[id].owners
+		p := z.pools[l[1]]
+		p.targets[id].mine++
+		p.Done(100, id, Result{Outcome: Broken, Took: 1})
+		Expect(p.Turned(100)).To(BeEmpty())
+		z.tell(100)
+		z.tell(100 + tellAfter)
+		Expect(z.pools[l[0]].targets[id].lacks).To(Equal(trustedAfter))
+		t := z.pools[l[0]].Turned(101 + tellAfter)
+		Expect(t).To(HaveLen(1))
+		Expect(t[0].Key).To(Equal(key(id)))
+		Expect(z.pools[l[0]].Turned(102 + tellAfter)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("a cut path", func() {
+	It("is no proof to other hosts that the target is sick", func() {
+		p, q := newPool("a", "a1"), newPool("a", "a1")
+		answer(q, 50, "a1")
+		p.targets["a1"].mine++
+		p.Done(100, "a1", Result{Outcome: Silent, Took: 1})
+		Expect(p.targets["a1"].lacks).To(Equal(trustedAfter))
+		e, _ := p.Of(100, "a1")
+		q.Learn(101, "h1", e)
+		Expect(q.targets["a1"].lacks).To(Equal(hearsay))
+		q.Learn(200, "h3", Evidence{Key: key("a1"), OKAge: 10, FailAge: never})
+		Expect(q.targets["a1"].lacks).To(Equal(0))
+	})
+})
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -14,20 +14,25 @@
 type Pool struct {
 	// Zone is the host's own availability zone.
 	Zone string
-	// Self is the host's ID, Hosts are the IDs of the hosts of its zone that
-	// take requests.
-	Self  string
-	Hosts []string
+	// Self is the host's ID.
+	Self string
 	// Service holds the limits of the targets' cold start.
 	Service catalog.Service
 	// Believe is told when a target gains or loses trust, and why.
 	Believe func(now clock.Millis, b Belief)
 
+	// hosts are the IDs of the hosts of the own zone that take requests, and
+	// this one; listed is true if it takes requests as the others know.
+	hosts    []string
+	listed   bool
 	targets  map[string]*target
 	order    []*target
 	byKey    map[uint32]*target
 	zonesOut map[string]bool
 	typical  float64
+	// turned are the targets that this host owns first and whose trust has
+	// changed.
+	turned []*target
 	// trusted is true if any target is trusted.
 	trusted bool
 }
@@ -47,8 +52,9 @@
 // Choice is a target that was chosen.
 type Choice struct {
 	ID, Addr, Zone string
-	// Probe is true if the target is not trusted.
-	Probe bool
+	// Probe is true if the target is not trusted, Own if this host is one of
+	// its owners.
+	Probe, Own bool
 	// Busy is the number of requests that it was known to hold, Age the time
 	// since its last known answer.
 	Busy int
@@ -64,6 +70,7 @@
 func (p *Pool) Run() {
 	p.targets = map[string]*target{}
 	p.byKey = map[uint32]*target{}
+	p.SetHosts(nil)
 }
 
 // Set follows the catalog: the targets of the service and the zones that get
@@ -109,6 +116,7 @@
 	// Each host has an order of its own, so that hosts that know nothing yet
 	// do not all begin with the same target.
 	sort.Slice(p.order, func(i, j int) bool { return p.rank(p.order[i].ID) < p.rank(p.order[j].ID) })
+	p.assign()
 }
 
 // rank orders targets for this host.
@@ -151,7 +159,10 @@
 	if !p.trusted {
 		return true
 	}
-	return t.Zone == p.Zone && (a.Repeatable || t.lacks < trustedAfter)
+	if !t.own {
+		return t.Zone == p.Zone && t.lacks <= hearsay
+	}
+	return a.Repeatable || t.lacks < trustedAfter
 }
 
 // review finds out whether any target is trusted.
@@ -178,7 +189,7 @@
 	if t == nil {
 		return Choice{}, false
 	}
-	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Probe: t.lacks > 0, Busy: t.busy(now), Age: now - t.seenAt(now)}
+	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Probe: t.lacks > 0, Own: t.own, Busy: t.busy(now), Age: now - t.seenAt(now)}
 	t.mine++
 	t.changed = true
 	t.starts = append(t.starts, now)
@@ -189,13 +200,13 @@
 	return c, true
 }
 
-// probe returns a target of the own zone that a request which can be sent
-// again should go to: a sick one whose time has come, or the one not heard
+// probe returns an own target that a request which can be sent again should go
+// to: a sick one whose time has come, or the one not heard
 // from for longest.
 func (p *Pool) probe(now clock.Millis, a Ask) *target {
 	var best *target
 	for _, t := range p.order {
-		if t.Zone != p.Zone || !p.usable(now, t, a) {
+		if !t.own || !p.usable(now, t, a) {
 			continue
 		}
 		if t.lacks > 0 && (t.probing || now < t.retryAt) {
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -15,8 +15,9 @@
 
 // newPool returns a pool of targets named by zone and number, such as a1.
 func newPool(zone string, ids ...string) *Pool {
-	p := &Pool{Zone: zone, Self: "h1", Hosts: []string{"h1"}, Service: catalog.Service{WarmUp: 3000, WarmUpRate: 6}}
+	p := &Pool{Zone: zone, Self: "h1", Service: catalog.Service{WarmUp: 3000, WarmUpRate: 6}}
 	p.Run()
+	p.SetHosts([]string{"h1"})
 	p.Set(0, testTargets(ids...), nil)
 	return p
 }
@@ -182,7 +183,7 @@
 
 	It("gives a cold target no more than its part of what it bears, and from its own zone only", func() {
 		p := newPool("a", "a1")
-		p.Hosts = []string{"h1", "h2", "h3"}
+		p.SetHosts([]string{"h1", "h2", "h3"})
 		l := testTargets("a1", "b1")
 		l[0].Born, l[0].Cold = 2, 3000
 		l[1].Born, l[1].Cold = 2, 3000
--- a/balance/target.go
+++ b/balance/target.go
@@ -35,6 +35,8 @@
 	// trusted again; fails counts failures in a row.
 	lacks, fails int
 	retryAt      clock.Millis
+	// path is true if the last failure may be one of the way there.
+	path bool
 	// turnedAt is when trust was gained or lost last.
 	turnedAt  clock.Millis
 	probing   bool
@@ -45,8 +47,12 @@
 	// refused is true after a connection was refused, until an answer.
 	refused bool
 	gone    bool
-	starts  []clock.Millis
-	changed bool
+	// ranking holds the hosts of the zone by their claim to the target, owners
+	// the first of them, own whether this host is one.
+	ranking, owners []string
+	own             bool
+	starts          []clock.Millis
+	changed         bool
 }
 
 type peerCount struct {
@@ -127,6 +133,7 @@
 // fail notes a failure; lacks is the number of answers that clear it.
 func (t *target) fail(now clock.Millis, lacks int) {
 	t.failAt = max(t.failAt, now)
+	t.path = false
 	t.fails++
 	t.lacks = max(t.lacks, lacks)
 	pause := firstRetry
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -7,7 +7,9 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/carawayrack/carawayrack/balance"
@@ -90,7 +92,11 @@
 			return &refusal{CallerLeft, http.StatusServiceUnavailable, 0, "before the request was sent"}, false
 		}
 		c.unsent.Add(1)
-		a.end(balance.Unreached)
+		o := balance.Unreached
+		if f.Outcome == slots.TimedOut {
+			o = balance.Silent
+		}
+		a.end(o)
 		return &refusal{NoTarget, http.StatusServiceUnavailable, retryFull, f.Error()}, true
 	}
 	c.mayHaveRun.Store(true)
@@ -102,7 +108,11 @@
 		a.end(balance.TimedOut)
 		return &refusal{OutOfTime, http.StatusGatewayTimeout, 0, f.Error()}, c.idempotent()
 	}
-	a.end(balance.Broken)
+	o := balance.Broken
+	if errors.Is(f.Cause, syscall.ETIMEDOUT) {
+		o = balance.Silent
+	}
+	a.end(o)
 	return &refusal{TargetFailed, http.StatusBadGateway, 0, f.Error()}, c.idempotent()
 }
 
@@ -191,17 +201,17 @@
 			r.Cold = clock.Millis(n)
 		}
 	}
-	c.host.view.done(now, c.service, a.choice.ID, r)
+	turned := c.host.view.done(now, c.service, a.choice.ID, r)
 	c.host.metrics.attempt(c.service, o)
 	if o == balance.Served && !a.choice.Probe {
 		c.host.gossip.changed()
 	} else {
-		c.host.gossip.alarm(c.service, a.choice.ID)
+		c.host.gossip.alarm(c.service, a.choice.ID, turned)
 	}
 	if o != balance.Served {
 		c.host.Log.Info("attempt", zap.String("request", c.id), zap.String("target", a.choice.ID),
 			zap.String("service", c.service), zap.String("outcome", o.String()), zap.Int64("tookMs", int64(r.Took)),
-			zap.Bool("probe", a.choice.Probe), zap.Int("busy", a.choice.Busy), zap.Int64("ageMs", int64(a.choice.Age)))
+			zap.String("zone", a.choice.Zone), zap.Bool("own", a.choice.Own), zap.Bool("probe", a.choice.Probe), zap.Int("busy", a.choice.Busy), zap.Int64("ageMs", int64(a.choice.Age)))
 	}
 }
 
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -25,9 +25,9 @@
 	digestInterval = 1 * clock.Second
 	// gatherFor is the time for which changes are gathered into one datagram.
 	gatherFor = 10 * clock.Millis(1)
-	// closePeers is the number of hosts in a zone up to which they tell each
-	// other of each request, farPeers the number in all zones up to which all
-	// are told of a change of trust.
+	// closePeers is the number of hosts of a zone up to which one of them
+	// tells other zones of all its targets, farPeers the number in all zones
+	// up to which all are told of each failure.
 	closePeers  = 6
 	farPeers    = 40
 	datagramMax = 1200
@@ -76,8 +76,11 @@
 func (g *gossip) loop() {
 	for range g.dirty {
 		time.Sleep(gatherFor.Duration())
-		if l := g.view.peers(false); len(l) <= closePeers {
-			g.send(partial, g.view.changedEvidence(g.clock.Now()), l)
+		for h, l := range g.view.changedEvidence(g.clock.Now()) {
+			g.send(partial, l, []coordinator.Host{h})
+		}
+		if l := g.view.turned(g.clock.Now()); len(l) > 0 && g.large() {
+			g.send(partial, l, g.view.otherZones())
 		}
 	}
 }
@@ -85,19 +88,33 @@
 func (g *gossip) digestLoop() {
 	for {
 		time.Sleep(digestInterval.Duration())
-		if l := g.view.peers(false); len(l) > 0 && len(l) <= closePeers && l[0].ID == g.settings.ID {
+		l := g.view.peers(false)
+		switch {
+		case len(l) > closePeers:
+			g.send(digest, g.view.owned(g.clock.Now()), l)
+		case len(l) > 0 && l[0].ID == g.settings.ID:
 			g.send(digest, g.view.digest(g.clock.Now()), g.view.otherZones())
 		}
 	}
 }
 
-// alarm tells all hosts at once that a target failed or recovered.
-func (g *gossip) alarm(service, id string) {
-	if e, ok := g.view.evidenceOf(g.clock.Now(), service, id); ok {
-		l := g.view.peers(true)
-		if len(l) > farPeers {
-			l = g.view.peers(false)
+// large reports whether there are so many hosts that not all are told of each
+// failure.
+func (g *gossip) large() bool { return g.view.activeCount() > farPeers }
+
+// alarm tells all hosts at once that a target failed or recovered. Where there
+// are many, only those that own the target hear of it as long as its trust has
+// not changed, and those of other zones from the first owner.
+func (g *gossip) alarm(service, id string, turned bool) {
+	l := g.view.peers(true)
+	if len(l) > farPeers {
+		g.changed()
+		if !turned {
+			return
 		}
+		l = g.view.peers(false)
+	}
+	if e, ok := g.view.evidenceOf(g.clock.Now(), service, id); ok {
 		g.send(partial, []balance.Evidence{e}, l)
 	}
 }
@@ -151,4 +168,5 @@
 		return
 	}
 	g.view.learn(g.clock.Now(), kind, string(b[:k]), balance.DecodeEvidence(b[k:]))
+	g.changed()
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -167,8 +167,8 @@
 
 // overdue notes that a target has not answered in the usual time.
 func (h *Host) overdue(service string, a *attempt) {
-	h.view.overdue(h.Clock.Now(), service, a.choice.ID)
-	h.gossip.alarm(service, a.choice.ID)
+	turned := h.view.overdue(h.Clock.Now(), service, a.choice.ID)
+	h.gossip.alarm(service, a.choice.ID, turned)
 }
 
 // refuse answers for the host.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -36,12 +36,44 @@
 	return len(v.active())
 }
 
-func (v *view) changedEvidence(now clock.Millis) []balance.Evidence {
+// changedEvidence returns what has changed, by the hosts to tell.
+func (v *view) changedEvidence(now clock.Millis) map[coordinator.Host][]balance.Evidence {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	by := map[string][]balance.Evidence{}
+	for _, p := range v.pools {
+		for h, l := range p.Changed(now) {
+			by[h] = append(by[h], l...)
+		}
+	}
+	m := map[coordinator.Host][]balance.Evidence{}
+	for _, h := range v.fleet.Hosts {
+		if l := by[h.ID]; l != nil {
+			m[h] = l
+		}
+	}
+	return m
+}
+
+// turned returns evidence on the targets that this host owns first and whose
+// trust has changed.
+func (v *view) turned(now clock.Millis) []balance.Evidence {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var l []balance.Evidence
+	for _, p := range v.pools {
+		l = append(l, p.Turned(now)...)
+	}
+	return l
+}
+
+// owned returns the evidence on the targets that this host owns first.
+func (v *view) owned(now clock.Millis) []balance.Evidence {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var l []balance.Evidence
 	for _, p := range v.pools {
-		l = append(l, p.Changed(now)...)
+		l = append(l, p.Owned(now)...)
 	}
 	return l
 }
@@ -84,7 +116,7 @@
 	for _, e := range l {
 		for n, p := range v.pools {
 			take := p.Learn
-			if kind == digest || zone != v.zone && p.From(e, zone) {
+			if kind == digest || p.Knows(e, zone) {
 				take = p.Adopt
 			}
 			if take(now, host, e) {
--- a/edge/view.go
+++ b/edge/view.go
@@ -94,7 +94,7 @@
 	defer v.mu.Unlock()
 	v.fleet = f
 	for _, p := range v.pools {
-		p.Hosts = v.hostsHere()
+		p.SetHosts(v.hostsHere())
 	}
 	for _, b := range v.budgets {
 		b.Depth = v.retryDepth()
@@ -122,8 +122,9 @@
 func (v *view) pool(service string) *balance.Pool {
 	p := v.pools[service]
 	if p == nil {
-		p = &balance.Pool{Zone: v.zone, Self: v.self, Hosts: v.hostsHere(), Believe: v.believe}
+		p = &balance.Pool{Zone: v.zone, Self: v.self, Believe: v.believe}
 		p.Run()
+		p.SetHosts(v.hostsHere())
 		v.pools[service] = p
 	}
 	return p
@@ -131,6 +132,10 @@
 
 // believe logs a change of trust.
 func (v *view) believe(_ clock.Millis, b balance.Belief) {
+	if b.Host != "" && !b.First && len(v.fleet.Hosts) > farPeers {
+		// In a large fleet the host that saw it and the first owner tell.
+		return
+	}
 	v.log.Info("trust", zap.String("target", b.Target), zap.Bool("trusted", b.Trusted),
 		zap.String("cause", b.Cause.String()), zap.String("seenBy", b.Host), zap.Int64("sinceMs", int64(b.Since)))
 }
@@ -166,22 +171,31 @@
 }
 
 // spareRetries is what must be left of the budget before requests are used
-// to try targets that are not trusted.
+// to try targets that are not trusted. Where a host's part is small, one is
+// enough: that of the request itself.
 const spareRetries = 2
 
-// done notes the end of a request at a target.
-func (v *view) done(now clock.Millis, service, id string, r balance.Result) {
+// spare reports whether a request of a service may try such a target.
+func (v *view) spare(service string) bool {
+	b := v.budget(service)
+	return b.Left() >= min(spareRetries, max(b.Depth/2, 1))
+}
+
+// done notes the end of a request at a target. It reports whether the target
+// gained or lost trust.
+func (v *view) done(now clock.Millis, service, id string, r balance.Result) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.pool(service).Done(now, id, r)
 	v.queue(service).Wake()
+	return v.pool(service).Done(now, id, r)
 }
 
-// overdue notes that a target has not answered in the usual time.
-func (v *view) overdue(now clock.Millis, service, id string) {
+// overdue notes that a target has not answered in the usual time. It reports
+// whether the target lost trust.
+func (v *view) overdue(now clock.Millis, service, id string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.pool(service).Overdue(now, id)
+	return v.pool(service).Overdue(now, id)
 }
 
 // first counts a request for the budget of retries.
--- a/edge/wait.go
+++ b/edge/wait.go
@@ -56,7 +56,7 @@
 		p.until = min(p.until, p.start+standingWait)
 	}
 	a := p.ask
-	a.Spare = a.Spare && v.budget(p.service).Left() >= spareRetries
+	a.Spare = a.Spare && v.spare(p.service)
 	over = now >= p.until
 	if over || q.Turn(&p.waiter) {
 		x, ok = v.pool(p.service).Pick(now, a)
