Send each entry of the log once to each replica

Cause: a leader sent all entries that were not acknowledged with each new one, so that a burst of n entries cost n squared.

Change: what was sent counts as received until a replica refuses what follows.

--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -31,7 +31,9 @@
 	closePeers  = 6
 	farPeers    = 40
 	datagramMax = 1200
-	markSize    = 4
+	// datagramHeader is the size of the headers of IP and UDP, in bytes.
+	datagramHeader = 28
+	markSize       = 4
 )
 
 // gossip tells other hosts what this one sees of targets, as datagrams: all
@@ -42,6 +44,7 @@
 	clock    clock.Clock
 	log      *zap.Logger
 	view     *view
+	metrics  *metrics
 
 	conn  *net.UDPConn
 	mark  [markSize]byte
@@ -140,6 +143,7 @@
 			g.log.Warn("host with an unusable address", zap.String("host", h.ID), zap.Error(err))
 			continue
 		}
+		g.metrics.sent(h.Zone != g.settings.Zone, "Evidence", len(b)+datagramHeader)
 		// Evidence that is lost is made up for by what comes next.
 		_, _ = g.conn.WriteToUDP(b, a)
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -76,7 +76,7 @@
 		IdleTimeout: idleTimeout, FreshIdle: freshIdle,
 	}
 	h.conns.Run()
-	h.gossip = &gossip{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view}
+	h.gossip = &gossip{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, metrics: h.metrics}
 	if err := h.gossip.run(); err != nil {
 		return errors.Wrap(err, "edge.Run")
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -9,18 +9,31 @@
 // metrics counts what the host did.
 type metrics struct {
 	answers, refusals, attempts *expvar.Map
+	// bytes counts what was sent within the zone and to other zones, in bytes:
+	// evidence as nearEvidence and farEvidence, bodies of requests alike.
+	bytes *expvar.Map
 }
 
 func newMetrics() *metrics {
-	m := &metrics{answers: new(expvar.Map), refusals: new(expvar.Map), attempts: new(expvar.Map)}
+	m := &metrics{answers: new(expvar.Map), refusals: new(expvar.Map), attempts: new(expvar.Map), bytes: new(expvar.Map)}
 	if expvar.Get("answers") == nil {
 		expvar.Publish("answers", m.answers)
 		expvar.Publish("refusals", m.refusals)
 		expvar.Publish("attempts", m.attempts)
+		expvar.Publish("bytes", m.bytes)
 	}
 	return m
 }
 
+// sent counts bytes that went to a zone.
+func (m *metrics) sent(far bool, what string, n int) {
+	name := "near" + what
+	if far {
+		name = "far" + what
+	}
+	m.bytes.Add(name, int64(n))
+}
+
 func (m *metrics) attempt(service string, o balance.Outcome) {
 	m.attempts.Add(service+"."+o.String(), 1)
 }
--- a/edge/send.go
+++ b/edge/send.go
@@ -151,6 +151,7 @@
 	c.tried = append(c.tried, h.ID)
 	c.sent++
 	c.host.gossip.changed()
+	c.host.metrics.sent(h.Zone != c.host.Settings.Zone, "Bodies", len(c.body))
 	a := &attempt{call: c, choice: h, started: now}
 	a.context, a.cancel = context.WithCancel(c.context)
 	return a, nil
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -8,6 +8,8 @@
 
 // progress is what the leader knows of another replica.
 type progress struct {
+	// next is the first entry that was not sent yet, match the last one that
+	// the replica is known to store.
 	next, match uint64
 	round       uint64
 	heardAt     clock.Millis
@@ -120,19 +122,24 @@
 	return p
 }
 
+// sendAppend sends what a replica has not been sent yet. What is lost on the
+// way shows when the replica refuses what follows.
 func (n *Node) sendAppend(id string) {
 	p := n.peer(id)
 	n.sends++
 	if p.next <= n.snapshot.Index {
 		s := n.snapshot
 		n.send(Message{Kind: Install, To: id, Snapshot: &s, Round: n.round, Sent: n.sends})
+		p.next = s.Index + 1
 		return
 	}
 	t, _ := n.term(p.next - 1)
+	l := n.slice(p.next)
 	n.send(Message{
 		Kind: Append, To: id, Index: p.next - 1, LogTerm: t,
-		Entries: n.slice(p.next), Commit: n.commit, Round: n.round, Sent: n.sends,
+		Entries: l, Commit: n.commit, Round: n.round, Sent: n.sends,
 	})
+	p.next += uint64(len(l))
 }
 
 func (n *Node) stepAppended(now clock.Millis, m Message) {
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -425,6 +425,25 @@
 		Expect(l.node.Role()).To(Equal(Leader))
 	})
 
+	ginkgo.It("sends each entry to each replica once while nothing is lost", func() {
+		c := newCluster(5)
+		l := c.leader()
+		const burst = 50
+		sent := map[string]int{}
+		l.node.Take()
+		for i := 0; i < burst; i++ {
+			_, err := l.node.Propose(c.now, []byte("x"))
+			Expect(err).NotTo(HaveOccurred())
+			for _, m := range l.node.Take() {
+				sent[m.To] += len(m.Entries)
+			}
+		}
+		Expect(sent).NotTo(BeEmpty())
+		for id, k := range sent {
+			Expect(k).To(BeNumerically("<=", burst), id)
+		}
+	})
+
 	ginkgo.It("stops a replica whose disk is older than its answers", func() {
 		c := newCluster(3)
 		l := c.leader()
