Tell other zones only of targets that stay sick

Most spells are over within a second.

Change: other zones hear once a second of targets that have been sick for a second, and of those that recovered.

--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -80,14 +80,22 @@
 	return m
 }
 
-// Turned returns evidence on the targets that this host owns first and whose
-// trust has changed since the last call.
+// settledAfter is how long a target must be sick before other zones are told:
+// they use it rarely, and most failures are over soon.
+const settledAfter = 1 * clock.Second
+
+// Turned returns evidence on the targets that this host owns first and on
+// which other zones must change their mind since the last call.
 func (p *Pool) Turned(now clock.Millis) []Evidence {
 	var l []Evidence
-	for _, t := range p.turned {
+	for _, t := range p.order {
+		sick := t.lacks > 0
+		if !p.first(t) || sick == t.farSick || sick && now-t.turnedAt < settledAfter {
+			continue
+		}
+		t.farSick = sick
 		l = append(l, t.evidence(now))
 	}
-	p.turned = nil
 	return l
 }
 
--- a/balance/judge.go
+++ b/balance/judge.go
@@ -58,9 +58,6 @@
 	if before == (t.lacks == 0) {
 		return
 	}
-	if p.first(t) {
-		p.turned = append(p.turned, t)
-	}
 	if p.Believe != nil {
 		p.Believe(now, Belief{
 			Target: t.ID, Trusted: !before, Cause: o, Host: host, Since: now - t.turnedAt, First: p.first(t),
--- a/balance/owners_test.go
+++ b/balance/owners_test.go
@@ -217,10 +217,19 @@
 		z.tell(100)
 		z.tell(100 + tellAfter)
 		Expect(z.pools[l[0]].targets[id].lacks).To(Equal(trustedAfter))
-		t := z.pools[l[0]].Turned(101 + tellAfter)
+		first := z.pools[l[0]]
+		Expect(first.Turned(101+tellAfter)).To(BeEmpty(), "most failures are over soon")
+		t := first.Turned(101 + tellAfter + settledAfter)
 		Expect(t).To(HaveLen(1))
 		Expect(t[0].Key).To(Equal(key(id)))
-		Expect(z.pools[l[0]].Turned(102 + tellAfter)).To(BeEmpty())
+		Expect(first.Turned(2000)).To(BeEmpty())
+		for i := clock.Millis(0); i < trustedAfter; i++ {
+			first.targets[id].mine++
+			first.Done(3000+10*i, id, Result{Outcome: Served, Took: 1})
+		}
+		t = first.Turned(3100)
+		Expect(t).To(HaveLen(1))
+		Expect(t[0].Lacks).To(BeZero())
 	})
 })
 
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -30,9 +30,6 @@
 	byKey    map[uint32]*target
 	zonesOut map[string]bool
 	typical  float64
-	// turned are the targets that this host owns first and whose trust has
-	// changed.
-	turned []*target
 	// trusted is true if any target is trusted.
 	trusted bool
 }
--- a/balance/target.go
+++ b/balance/target.go
@@ -35,6 +35,8 @@
 	// trusted again; fails counts failures in a row.
 	lacks, fails int
 	retryAt      clock.Millis
+	// farSick is true if other zones were told that the target is sick.
+	farSick bool
 	// path is true if the last failure may be one of the way there.
 	path bool
 	// turnedAt is when trust was gained or lost last.
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -82,9 +82,6 @@
 		for h, l := range g.view.changedEvidence(g.clock.Now()) {
 			g.send(partial, l, []coordinator.Host{h})
 		}
-		if l := g.view.turned(g.clock.Now()); len(l) > 0 && g.large() {
-			g.send(partial, l, g.view.otherZones())
-		}
 	}
 }
 
@@ -95,16 +92,13 @@
 		switch {
 		case len(l) > closePeers:
 			g.send(digest, g.view.owned(g.clock.Now()), l)
+			g.send(partial, g.view.turned(g.clock.Now()), g.view.otherZones())
 		case len(l) > 0 && l[0].ID == g.settings.ID:
 			g.send(digest, g.view.digest(g.clock.Now()), g.view.otherZones())
 		}
 	}
 }
 
-// large reports whether there are so many hosts that not all are told of each
-// failure.
-func (g *gossip) large() bool { return g.view.activeCount() > farPeers }
-
 // alarm tells all hosts at once that a target failed or recovered. Where there
 // are many, only those that own the target hear of it as long as its trust has
 // not changed, and those of other zones from the first owner.
@@ -172,5 +166,4 @@
 		return
 	}
 	g.view.learn(g.clock.Now(), kind, string(b[:k]), balance.DecodeEvidence(b[k:]))
-	g.changed()
 }
