Recognise requests that crash each target that runs them

Cause: such a request reached up to maxAttempts targets each time its caller sent it again; nothing remembered it.

Change: after a broken connection the host looks whether the target still listens. A target that does not has crashed; hosts tell each other. An answer anywhere clears it. A target that breaks connections and goes on, as gray ones do, is no crash.

--- a/balance/evidence_test.go
+++ b/balance/evidence_test.go
@@ -5,7 +5,7 @@
 	. "github.com/onsi/gomega"
 )
 
-func key(id string) uint32 { return hashKey(id) }
+func key(id string) uint32 { return Key(id) }
 
 var _ = Describe("Evidence", func() {
 	It("reads back what it wrote, and leaves a torn rest out", func() {
--- a/balance/owners.go
+++ b/balance/owners.go
@@ -75,7 +75,7 @@
 	l := slices.Clone(p.hosts)
 	k := make(map[string]uint32, len(l))
 	for _, h := range l {
-		k[h] = hashKey(id + "/" + h)
+		k[h] = Key(id + "/" + h)
 	}
 	sort.Slice(l, func(i, j int) bool {
 		if k[l[i]] != k[l[j]] {
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -78,7 +78,7 @@
 		seen[c.ID] = true
 		t := p.targets[c.ID]
 		if t == nil || t.Born != c.Born {
-			t = &target{key: hashKey(c.ID), peers: map[string]peerCount{}}
+			t = &target{key: Key(c.ID), peers: map[string]peerCount{}}
 			if c.Cold > 0 {
 				t.coldUntil = now + c.Cold
 			}
@@ -123,7 +123,8 @@
 	return h.Sum64()
 }
 
-func hashKey(id string) uint32 {
+// Key returns the short form of a target's ID that hosts send each other.
+func Key(id string) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
 	return h.Sum32()
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -201,6 +201,12 @@
 			r.Cold = clock.Millis(n)
 		}
 	}
+	switch o {
+	case balance.Served, balance.Failed:
+		c.host.suspects.answered(c)
+	case balance.Broken:
+		c.host.suspects.broke(c.fingerprint(), a.choice.ID, a.choice.Addr)
+	}
 	turned := c.host.view.done(now, c.service, a.choice.ID, r)
 	c.host.metrics.attempt(c.service, o)
 	if o == balance.Served && !a.choice.Probe {
--- a/edge/call.go
+++ b/edge/call.go
@@ -86,6 +86,9 @@
 	if x := c.readBody(f.Limits.BodyBytes); x != nil {
 		return x
 	}
+	if x := c.host.suspects.check(c); x != nil {
+		return x
+	}
 	return c.spend()
 }
 
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -18,6 +18,8 @@
 	partial = iota
 	// digest datagrams hold all targets of the sender's zone.
 	digest
+	// crash datagrams tell of a request that crashes its targets.
+	crash
 )
 
 const (
@@ -45,6 +47,7 @@
 	log      *zap.Logger
 	view     *view
 	metrics  *metrics
+	suspects *suspects
 
 	conn  *net.UDPConn
 	mark  [markSize]byte
@@ -118,13 +121,20 @@
 
 // send sends evidence to hosts.
 func (g *gossip) send(kind byte, l []balance.Evidence, to []coordinator.Host) {
-	if len(l) == 0 {
-		return
+	if len(l) > 0 {
+		g.post(kind, balance.EncodeEvidence(nil, l), to)
 	}
+}
+
+// suspect tells all hosts of a request that crashes its targets.
+func (g *gossip) suspect(payload []byte) { g.post(crash, payload, g.view.peers(true)) }
+
+// post sends one datagram to hosts.
+func (g *gossip) post(kind byte, payload []byte, to []coordinator.Host) {
 	b := append(make([]byte, 0, datagramMax), g.mark[:]...)
 	b = append(b, kind, byte(len(g.settings.ID)))
 	b = append(b, g.settings.ID...)
-	b = balance.EncodeEvidence(b, l)
+	b = append(b, payload...)
 	if len(b) > datagramMax {
 		b = b[:datagramMax]
 	}
@@ -165,5 +175,9 @@
 	if len(b) < k {
 		return
 	}
+	if kind == crash {
+		g.suspects.hear(b[k:])
+		return
+	}
 	g.view.learn(g.clock.Now(), kind, string(b[:k]), balance.DecodeEvidence(b[k:]))
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -30,15 +30,17 @@
 	// ReadyPath is the path of the question whether the host is ready.
 	ReadyPath string
 
-	view    *view
-	tokens  *tokens
-	link    *link
-	gossip  *gossip
-	conns   *forward.Pool
-	metrics *metrics
-	server  *http.Server
-	leaving atomic.Bool
-	started clock.Millis
+	view   *view
+	tokens *tokens
+	link   *link
+	gossip *gossip
+	// suspects are the requests that crash their targets.
+	suspects *suspects
+	conns    *forward.Pool
+	metrics  *metrics
+	server   *http.Server
+	leaving  atomic.Bool
+	started  clock.Millis
 }
 
 // Timing of connections.
@@ -77,6 +79,9 @@
 	}
 	h.conns.Run()
 	h.gossip = &gossip{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, metrics: h.metrics}
+	h.suspects = &suspects{clock: h.Clock, log: h.Log, tell: h.gossip.suspect}
+	h.suspects.run()
+	h.gossip.suspects = h.suspects
 	if err := h.gossip.run(); err != nil {
 		return errors.Wrap(err, "edge.Run")
 	}
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -23,6 +23,7 @@
 	OutOfTime    Reason = "outOfTime"
 	TargetFailed Reason = "targetFailed"
 	CallerLeft   Reason = "callerLeft"
+	Quarantined  Reason = "quarantined"
 )
 
 // refusal is an answer of the host's own.
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -9,6 +9,8 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -137,6 +139,29 @@
 	host   *Host
 	server *httptest.Server
 	lent   int
+	// down makes targets unreachable once they have broken a connection.
+	down atomic.Bool
+	mu   sync.Mutex
+	told [][]byte
+}
+
+func (w *world) reach(string) error {
+	if w.down.Load() {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
+func (w *world) tell(b []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.told = append(w.told, b)
+}
+
+func (w *world) messages() [][]byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([][]byte{}, w.told...)
 }
 
 func newWorld(targets ...*standin) *world {
@@ -152,6 +177,8 @@
 	h.tokens.run()
 	h.link = &link{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, kicks: make(chan struct{}, 1)}
 	h.gossip = &gossip{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, dirty: make(chan struct{}, 1)}
+	h.suspects = &suspects{clock: h.Clock, log: h.Log, tell: w.tell, reach: w.reach}
+	h.suspects.run()
 	h.conns = &forward.Pool{Clock: h.Clock, DialTimeout: 500}
 	h.conns.Run()
 	DeferCleanup(h.conns.Close)
