A soak of real processes with faults from outside

carawaylab soak starts five control processes and four hosts, and targets behind proxies; kills, freezes, stops, lost disks, torn logs, cut and silent connections, gray targets, changes of the configuration and withdrawn keys come in series and overlap. Callers, targets and operators check what was promised.

--- a/cmd/carawaylab/main.go
+++ b/cmd/carawaylab/main.go
@@ -15,6 +15,7 @@
 		{Name: "demo", Usage: usageDemo, Run: runDemo},
 		{Name: "capacity", Usage: usageCapacity, Run: runCapacity},
 		{Name: "compare", Usage: usageCompare, Run: runCompare},
+		{Name: "soak", Usage: usageSoak, Run: runSoak},
 		{Name: "target", Usage: usageTarget, Run: runTarget},
 	}}
 	os.Exit(p.Run(os.Args[1:]))
--- /dev/null
+++ b/cmd/carawaylab/soak.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/carawayrack/carawayrack/command"
+	"github.com/carawayrack/carawayrack/soak"
+)
+
+const usageSoak = "breaks a fleet of real processes at random and checks what was promised"
+
+func runSoak(args []string) int {
+	f := command.Flags("soak", usageSoak)
+	binary := f.String("binary", "bin/carawayrack", "the carawayrack program")
+	seed := f.Int64("seed", 1, "first seed")
+	seeds := f.Int64("seeds", 1, "number of seeds")
+	seconds := f.Int("seconds", 20, "length of the faults of each seed")
+	keep := f.Bool("keep", false, "keep the folder of a run without a find too")
+	verbose := f.Bool("v", false, "print the faults of each run")
+	if code, ok := command.Parse(f, args); !ok {
+		return code
+	}
+	found := 0
+	for k := *seed; k < *seed+*seeds; k++ {
+		n, err := soakOne(*binary, k, time.Duration(*seconds)*time.Second, *keep, *verbose)
+		if err != nil {
+			return command.Fail(err)
+		}
+		found += n
+	}
+	if found > 0 {
+		fmt.Printf("%d promises were broken\n", found)
+		return command.Failed
+	}
+	return command.OK
+}
+
+func soakOne(binary string, seed int64, span time.Duration, keep, verbose bool) (int, error) {
+	dir, err := os.MkdirTemp("", "carawayrack-soak-")
+	if err != nil {
+		return 0, err
+	}
+	s := &soak.Soak{Binary: binary, Dir: dir, Seed: seed, Span: span}
+	r, err := s.Run()
+	if err != nil {
+		return 0, err
+	}
+	fmt.Printf("seed %d: %d of %d requests served, %d faults, %d promises broken\n", seed, r.Served, r.Sent, len(r.Faults), len(r.Violations))
+	if verbose || len(r.Violations) > 0 {
+		for _, x := range r.Faults {
+			fmt.Println("  " + x)
+		}
+	}
+	for _, v := range r.Violations {
+		fmt.Printf("  broken at %d ms: %s: %s\n", v.At, v.Promise, v.What)
+	}
+	if len(r.Violations) == 0 && !keep {
+		return 0, os.RemoveAll(dir)
+	}
+	fmt.Println("  logs in " + dir)
+	return len(r.Violations), nil
+}
--- /dev/null
+++ b/soak/caller.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/carawayrack/carawayrack/platform"
+)
+
+const (
+	host         = "orders.example"
+	safePath     = "/read/"
+	unsafePath   = "/file/"
+	callTimeout  = 3 * time.Second
+	callPause    = 30 * time.Millisecond
+	addressesFor = 2 * time.Second
+)
+
+// caller sends requests until it is stopped, over connections that it keeps.
+type caller struct {
+	name      string
+	seed      int64
+	ledger    *Ledger
+	zones     []string
+	directory []string
+	// keys returns the keys in use.
+	keys func() []string
+	// good counts the requests that were served.
+	good, all atomic.Int64
+
+	http      *http.Client
+	addresses []string
+	askedAt   time.Time
+	stopped   chan struct{}
+	ended     chan struct{}
+}
+
+func (c *caller) run() {
+	defer close(c.ended)
+	r := rand.New(rand.NewSource(c.seed))
+	c.http = &http.Client{Timeout: callTimeout}
+	for n := 0; ; n++ {
+		select {
+		case <-c.stopped:
+			return
+		case <-time.After(time.Duration(r.Int63n(int64(2 * callPause)))):
+		}
+		c.resolve(r)
+		if len(c.addresses) == 0 {
+			continue
+		}
+		k := c.keys()
+		c.call(r, fmt.Sprintf("%s-%d", c.name, n), k[r.Intn(len(k))])
+	}
+}
+
+// resolve asks for addresses; without an answer the old ones are kept.
+func (c *caller) resolve(r *rand.Rand) {
+	if time.Since(c.askedAt) < addressesFor {
+		return
+	}
+	x := platform.Client{HTTP: &http.Client{Timeout: time.Second}}
+	l, err := x.Addresses(c.directory[r.Intn(len(c.directory))], c.zones[r.Intn(len(c.zones))])
+	if err == nil && len(l) > 0 {
+		c.addresses, c.askedAt = l, time.Now()
+	}
+}
+
+func (c *caller) call(r *rand.Rand, id, key string) {
+	unsafe := r.Intn(2) == 0
+	method, path, body := http.MethodGet, safePath, ""
+	if unsafe {
+		method, path, body = http.MethodPost, unsafePath, "order "+id
+	}
+	x, stop := context.WithTimeout(context.Background(), callTimeout)
+	defer stop()
+	u := "http://" + c.addresses[r.Intn(len(c.addresses))] + path + id
+	q, err := http.NewRequestWithContext(x, method, u, strings.NewReader(body))
+	if err != nil {
+		c.ledger.violate("soak", "%v", err)
+		return
+	}
+	h := platform.Headers()
+	q.Host = host
+	// Without this the library sends requests again by itself.
+	q.GetBody = nil
+	q.Header.Set(h.RequestID, id)
+	q.Header.Set(h.Key, key)
+	q.Header.Set(h.Deadline, fmt.Sprint(callTimeout.Milliseconds()))
+	c.ledger.send(id, unsafe, key)
+	c.all.Add(1)
+	a, err := c.http.Do(q)
+	if err != nil {
+		return
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		return
+	}
+	c.ledger.answered(id, a.StatusCode)
+	if a.StatusCode != http.StatusOK {
+		return
+	}
+	c.good.Add(1)
+	if string(b) != bodyOf(id) || a.Header.Get(h.RequestID) != id || a.Header.Get(h.Seal) != "seal-"+id {
+		c.ledger.violate("answer", "request %s was answered with %q", id, b)
+	}
+}
--- /dev/null
+++ b/soak/fault.go
@@ -0,0 +1,218 @@
+package soak
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/carawayrack/carawayrack/clock"
+)
+
+// fault is one kind of disturbance. It runs beside others.
+type fault struct {
+	name string
+	// weight is how often it comes, against the others.
+	weight int
+	// process is true if it disturbs a process.
+	process bool
+	run     func(s *Soak, pick int, hold time.Duration)
+}
+
+var faults = []fault{
+	{"kill a control process", 3, true, func(s *Soak, k int, d time.Duration) { s.restart(s.cores[k%cores], d, nil) }},
+	{"freeze a control process", 3, true, func(s *Soak, k int, d time.Duration) { s.freeze(s.cores[k%cores], d) }},
+	{"lose a disk", 1, true, (*Soak).loseDisk},
+	{"tear a log", 1, true, func(s *Soak, k int, d time.Duration) {
+		p := s.cores[k%cores]
+		s.restart(p, d, func() error { return p.Tear([]byte{1, 2, 3, 4, 5, 6, 7}) })
+	}},
+	{"kill all control processes", 1, true, func(s *Soak, _ int, d time.Duration) { s.herd(d) }},
+	{"kill a host", 3, true, func(s *Soak, k int, d time.Duration) { s.restart(s.edges[k%edges], d, nil) }},
+	{"freeze a host", 2, true, func(s *Soak, k int, d time.Duration) { s.freeze(s.edges[k%edges], d) }},
+	{"stop a host", 2, true, func(s *Soak, k int, d time.Duration) { s.stopHost(s.edges[k%edges], d) }},
+	{"reload a host", 1, false, func(s *Soak, k int, _ time.Duration) { s.edges[k%edges].Signal(syscall.SIGHUP) }},
+	{"cut a target off one way", 3, false, func(s *Soak, k int, d time.Duration) {
+		t := s.anyTarget(k)
+		t.proxy.Cut(k%2 == 0, k%2 == 1)
+		time.Sleep(d)
+		t.proxy.Cut(false, false)
+	}},
+	{"silence connections of a target", 2, false, func(s *Soak, k int, _ time.Duration) { s.anyTarget(k).proxy.Forget() }},
+	{"delay a target", 2, false, func(s *Soak, k int, d time.Duration) {
+		t := s.anyTarget(k)
+		t.proxy.Delay(clock.Millis(50 + k%250))
+		time.Sleep(d)
+		t.proxy.Delay(0)
+	}},
+	{"make a target gray", 4, false, func(s *Soak, k int, d time.Duration) {
+		t := s.anyTarget(k)
+		t.gray.Store(true)
+		time.Sleep(d)
+		t.gray.Store(false)
+	}},
+	{"replace a target", 2, false, (*Soak).replaceTarget},
+	{"change the configuration", 3, false, func(s *Soak, _ int, _ time.Duration) { s.configure() }},
+	{"read the configuration", 2, false, (*Soak).readBack},
+	{"withdraw a key", 1, false, (*Soak).withdraw},
+}
+
+const (
+	minPause, maxPause = 100, 900
+	minHold, maxHold   = 200, 2500
+	// diskEvery is the time between lost disks, in which a copy is made.
+	diskEvery = 10 * time.Second
+)
+
+// disturb starts faults until the span is over and returns their names.
+func (s *Soak) disturb() []string {
+	var names []string
+	sum := 0
+	for _, f := range faults {
+		sum += f.weight
+	}
+	for end := time.Now().Add(s.Span); time.Now().Before(end); {
+		k := s.random.Intn(sum)
+		i := 0
+		for ; k >= faults[i].weight; i++ {
+			k -= faults[i].weight
+		}
+		f := &faults[i]
+		hold := time.Duration(minHold+s.random.Intn(maxHold-minHold)) * time.Millisecond
+		names = append(names, fmt.Sprintf("%d ms: %s for %v", s.ledger.now(), f.name, hold))
+		s.work.Add(1)
+		go s.run(f, s.random.Intn(1000), hold)
+		time.Sleep(time.Duration(minPause+s.random.Intn(maxPause-minPause)) * time.Millisecond)
+	}
+	return names
+}
+
+// run brings one fault about.
+func (s *Soak) run(f *fault, pick int, hold time.Duration) {
+	defer s.work.Done()
+	if f.process {
+		s.ledger.fault()
+		defer s.ledger.fault()
+	}
+	f.run(s, pick, hold)
+}
+
+func (s *Soak) restart(p *Process, d time.Duration, change func() error) {
+	p.busy.Lock()
+	defer p.busy.Unlock()
+	p.Kill()
+	if change != nil {
+		if err := change(); err != nil {
+			s.ledger.violate("soak", "%v", err)
+		}
+	}
+	time.Sleep(d)
+	s.begin(p)
+}
+
+func (s *Soak) begin(p *Process) {
+	if err := p.Start(); err != nil {
+		s.ledger.violate("soak", "%v", err)
+	}
+}
+
+func (s *Soak) freeze(p *Process, d time.Duration) {
+	p.busy.Lock()
+	defer p.busy.Unlock()
+	p.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.Signal(syscall.SIGCONT)
+}
+
+func (s *Soak) stopHost(p *Process, d time.Duration) {
+	p.busy.Lock()
+	defer p.busy.Unlock()
+	p.Stop()
+	time.Sleep(d)
+	s.begin(p)
+}
+
+// loseDisk empties one disk, while all other control processes run.
+func (s *Soak) loseDisk(k int, d time.Duration) {
+	for _, p := range s.cores {
+		p.busy.Lock()
+		defer p.busy.Unlock()
+	}
+	if time.Since(s.wiped) < diskEvery {
+		return
+	}
+	s.wiped = time.Now()
+	p := s.cores[k%cores]
+	p.Kill()
+	if err := p.Wipe(); err != nil {
+		s.ledger.violate("soak", "%v", err)
+	}
+	time.Sleep(d)
+	s.begin(p)
+}
+
+func (s *Soak) herd(d time.Duration) {
+	for _, p := range s.cores {
+		p.busy.Lock()
+		defer p.busy.Unlock()
+	}
+	for _, p := range s.cores {
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range s.cores {
+		<-p.end()
+	}
+	time.Sleep(d / 2)
+	for _, p := range s.cores {
+		s.begin(p)
+	}
+}
+
+func (s *Soak) anyTarget(k int) *target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets[k%len(s.targets)]
+}
+
+// replaceTarget starts a target and lets another one leave.
+func (s *Soak) replaceTarget(k int, _ time.Duration) {
+	if err := s.addTarget(); err != nil {
+		s.ledger.violate("soak", "%v", err)
+		return
+	}
+	s.mu.Lock()
+	i := k % (len(s.targets) - 1)
+	t := s.targets[i]
+	s.targets = append(s.targets[:i], s.targets[i+1:]...)
+	s.mu.Unlock()
+	t.leaving.Store(true)
+}
+
+// readBack reads the configuration where it can be had: it is not older than
+// what was acknowledged a while before.
+func (s *Soak) readBack(k int, _ time.Duration) {
+	s.mu.Lock()
+	acked := s.acked
+	s.mu.Unlock()
+	time.Sleep(configWithin.Duration())
+	if c, err := s.client.Configuration(s.controls()[k%cores]); err == nil {
+		s.compare(c, acked)
+	}
+}
+
+// withdraw gives the account a new key and takes the old one away. Callers go
+// on using both.
+func (s *Soak) withdraw(int, time.Duration) {
+	s.mu.Lock()
+	var old string
+	for _, k := range s.keys {
+		if holderOf(k) == unlimited && s.ledger.inForce(k) {
+			old = k
+		}
+	}
+	s.ledger.withdraw(old)
+	s.keys = append(s.keys, fmt.Sprintf("club-%d", len(s.keys)+1))
+	s.mu.Unlock()
+	if s.configure() {
+		s.ledger.revoke(old)
+	}
+}
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carawayrack/carawayrack/platform"
+)
+
+// Process is one process of the fleet. It is ended by its own ID only.
+type Process struct {
+	Place platform.Place
+	// Role is edge or core.
+	Role string
+	// Binary is the carawayrack program, Dir the folder of logs and settings.
+	Binary, Dir string
+
+	// busy is held by the fault that disturbs the program.
+	busy sync.Mutex
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// stopWithin bounds a planned stop, beyond the grace of the settings.
+const stopWithin = 8 * time.Second
+
+// Start starts the program with the settings in force.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	base := filepath.Join(p.Dir, p.Place.Name)
+	env, err := p.Place.Environment(base + ".json")
+	if err != nil {
+		return err
+	}
+	l, err := os.OpenFile(base+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "soak.Start")
+	}
+	defer l.Close()
+	p.cmd = exec.Command(p.Binary, p.Role, "-metrics", p.Place.IP+":9180")
+	p.cmd.Env = append(os.Environ(), env)
+	p.cmd.Stdout, p.cmd.Stderr = l, l
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return errors.Wrap(err, "soak.Start")
+	}
+	p.ended = make(chan struct{})
+	go p.run(p.cmd, p.ended)
+	return nil
+}
+
+// run waits for the end of the program.
+func (p *Process) run(c *exec.Cmd, ended chan struct{}) {
+	// How it ended is told by its log.
+	_ = c.Wait()
+	close(ended)
+}
+
+// Signal sends a signal to the program.
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// A program that has ended needs no signal.
+	_ = p.cmd.Process.Signal(s)
+}
+
+// Kill ends the program at once.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.end()
+}
+
+// Stop ends the program in order.
+func (p *Process) Stop() {
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.end():
+	case <-time.After(stopWithin):
+		p.Kill()
+	}
+}
+
+func (p *Process) end() chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
+// Ended reports whether the program has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.end():
+		return true
+	default:
+		return false
+	}
+}
+
+// Wipe empties the disk of a program that has ended.
+func (p *Process) Wipe() error {
+	p.Place.Founding = false
+	if err := os.RemoveAll(p.Place.Data); err != nil {
+		return errors.Wrap(err, "soak.Wipe")
+	}
+	return errors.Wrap(os.MkdirAll(p.Place.Data, 0o700), "soak.Wipe")
+}
+
+// Tear appends bytes to the files of the disk of a program that has ended, as
+// a write that was cut short leaves them.
+func (p *Process) Tear(b []byte) error {
+	l, err := filepath.Glob(filepath.Join(p.Place.Data, "log", "log-*"))
+	if err != nil {
+		return errors.Wrap(err, "soak.Tear")
+	}
+	for _, n := range l {
+		f, err := os.OpenFile(n, os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return errors.Wrap(err, "soak.Tear")
+		}
+		_, err = f.Write(b)
+		if e := f.Close(); err == nil {
+			err = e
+		}
+		if err != nil {
+			return errors.Wrap(err, "soak.Tear")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/target.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/faultproxy"
+	"github.com/carawayrack/carawayrack/platform"
+)
+
+const (
+	service        = "orders"
+	targetSlots    = 4
+	work           = 20 * time.Millisecond
+	announceEvery  = 300 * time.Millisecond
+	announceWithin = time.Second
+	// serveAfter is how long a target serves after its departure is confirmed.
+	serveAfter = 3 * time.Second
+)
+
+// target is a stand-in target behind a proxy.
+type target struct {
+	about  catalog.Target
+	ledger *Ledger
+	cores  []string
+	proxy  *faultproxy.Proxy
+	server *http.Server
+	seed   int64
+
+	running atomic.Int32
+	// gray targets break some requests before and some after they ran.
+	gray    atomic.Bool
+	leaving atomic.Bool
+	stopped chan struct{}
+}
+
+func (t *target) start() error {
+	n, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "soak.target")
+	}
+	t.proxy = &faultproxy.Proxy{Target: n.Addr().String()}
+	if err := t.proxy.Run(); err != nil {
+		return err
+	}
+	t.about.Addr = t.proxy.Addr()
+	t.about.Born = time.Now().UnixMilli()
+	t.about.Service, t.about.Slots, t.about.Phase = service, targetSlots, catalog.Serving
+	t.stopped = make(chan struct{})
+	t.server = &http.Server{Handler: t}
+	go t.run(n)
+	go t.loop()
+	return nil
+}
+
+func (t *target) run(n net.Listener) {
+	// The server ends when the target does.
+	_ = t.server.Serve(n)
+}
+
+// loop announces the target until it has left.
+func (t *target) loop() {
+	r := rand.New(rand.NewSource(t.seed))
+	c := platform.Client{HTTP: &http.Client{Timeout: announceWithin}}
+	for {
+		t.about.Number++
+		a := t.about
+		if t.leaving.Load() {
+			a.Phase = catalog.Leaving
+		}
+		// A control process that does not answer is passed over next time.
+		err := c.Announce(t.cores[r.Intn(len(t.cores))], a)
+		if err == nil && a.Phase == catalog.Leaving {
+			t.ledger.leave(a.ID)
+			time.Sleep(serveAfter)
+			t.close()
+			return
+		}
+		select {
+		case <-t.stopped:
+			return
+		case <-time.After(announceEvery):
+		}
+	}
+}
+
+func (t *target) close() {
+	_ = t.server.Close()
+	t.proxy.Close()
+}
+
+func (t *target) stop() {
+	close(t.stopped)
+	t.close()
+}
+
+// ServeHTTP runs one request.
+func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := platform.Headers()
+	id := r.Header.Get(h.RequestID)
+	w.Header().Set(h.RequestID, id)
+	if r.Header.Get(h.Expect) != t.about.ID {
+		w.Header().Set(h.NotRun, "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	t.ledger.arrive(t.about.ID)
+	if r.Header.Get(h.Key) != "" {
+		t.ledger.violate("key", "request %s came with its key", id)
+	}
+	if t.running.Add(1) > targetSlots {
+		t.running.Add(-1)
+		w.Header().Set(h.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer t.running.Add(-1)
+	broken := 0
+	if t.gray.Load() {
+		broken = rand.Intn(3)
+	}
+	if broken == 1 {
+		panic(http.ErrAbortHandler)
+	}
+	t.ledger.ran(id, t.about.ID, r.Header.Get(h.Account))
+	time.Sleep(work)
+	if broken == 2 {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(h.Seal, "seal-"+id)
+	w.Header().Set(h.Load, fmt.Sprintf("%d,0,%d", t.running.Load(), targetSlots))
+	// A caller that has left has no use for the answer.
+	_, _ = fmt.Fprint(w, bodyOf(id))
+}
+
+// bodyOf is the whole answer to a request.
+func bodyOf(id string) string { return "answer to " + id }
