Ask a second target in time for the objective, and only an idle one

Cause: a slow first attempt was waited for four times the usual answer of the service plus 100 ms, which is beyond the objective of short routes.

Ruled out: judging targets at the same time.

Change: a second attempt starts in time to be answered within the objective, by the usual answer of the route, where a target is idle. A target counts as slow as late as before.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -42,6 +42,8 @@
 	Spare bool
 	// Bulky requests are dear to send to another zone.
 	Bulky bool
+	// Idle asks for a target with a free slot.
+	Idle bool
 	// Avoid are the targets that were tried.
 	Avoid []string
 }
@@ -140,7 +142,7 @@
 			return false
 		}
 	}
-	if t.busy(now) >= t.slots()+queueBeyond {
+	if b := t.busy(now); b >= t.slots()+queueBeyond || a.Idle && b >= t.slots() {
 		return false
 	}
 	if t.lacks > 0 && !p.bears(t, a) {
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -28,8 +28,9 @@
 	cancel   context.CancelFunc
 	response *http.Response
 	body     []byte
-	// overtaken is set before an attempt is given up for another one.
-	overtaken atomic.Bool
+	// overtaken is set before an attempt is given up for another one, overdue
+	// once it has taken so long that this tells against its target.
+	overtaken, overdue atomic.Bool
 	// Without a failure there is a whole answer; again tells whether another
 	// target may be tried.
 	failure *refusal
@@ -118,7 +119,7 @@
 
 // givenUp is the outcome of an attempt that was cancelled.
 func (a *attempt) givenUp() balance.Outcome {
-	if a.overtaken.Load() {
+	if a.overtaken.Load() && a.overdue.Load() {
 		return balance.TimedOut
 	}
 	return balance.Cancelled
@@ -202,7 +203,10 @@
 		}
 	}
 	switch o {
-	case balance.Served, balance.Failed:
+	case balance.Served:
+		c.host.view.timed(c.route.Name, r.Took)
+		c.host.suspects.answered(c)
+	case balance.Failed:
 		c.host.suspects.answered(c)
 	case balance.Broken:
 		c.host.suspects.broke(c.fingerprint(), a.choice.ID, a.choice.Addr)
--- a/edge/host.go
+++ b/edge/host.go
@@ -172,6 +172,7 @@
 
 // overdue notes that a target has not answered in the usual time.
 func (h *Host) overdue(service string, a *attempt) {
+	a.overdue.Store(true)
 	turned := h.view.overdue(h.Clock.Now(), service, a.choice.ID)
 	h.gossip.alarm(service, a.choice.ID, turned)
 }
--- /dev/null
+++ b/edge/patience_test.go
@@ -0,0 +1,36 @@
+package edge
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/carawayrack/carawayrack/clock"
+)
+
+// Usual answers and objectives of the users' routes, in milliseconds.
+var _ = DescribeTable("patience leaves time for a second answer within the objective",
+	func(typical, objective clock.Millis) {
+		Expect(patience(typical, objective) + typical).To(BeNumerically("<=", objective))
+	},
+	Entry("portal look-ups", clock.Millis(160), clock.Millis(600)),
+	Entry("tolerance look-ups", clock.Millis(64), clock.Millis(200)),
+	Entry("status look-ups", clock.Millis(90), clock.Millis(400)),
+	Entry("journal look-ups", clock.Millis(36), clock.Millis(150)),
+	Entry("portal look-ups, grown", clock.Millis(250), clock.Millis(1200)),
+	Entry("tolerance look-ups, grown", clock.Millis(100), clock.Millis(600)),
+)
+
+var _ = Describe("patience", func() {
+	It("is at least twice the usual answer, however short the objective", func() {
+		Expect(patience(300, 200)).To(Equal(clock.Millis(600)))
+	})
+
+	It("is bounded where the objective is far away, or there is none", func() {
+		Expect(patience(100, 10_000)).To(Equal(clock.Millis(500)))
+		Expect(patience(100, 0)).To(Equal(clock.Millis(500)))
+	})
+
+	It("is the objective before the first answer", func() {
+		Expect(patience(0, 700)).To(Equal(clock.Millis(700)))
+	})
+})
--- a/edge/send.go
+++ b/edge/send.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// patienceFactor times the usual answer plus patienceMin is how long a
-	// request that may be repeated waits for one target.
-	patienceFactor = 4
-	patienceMin    = 100 * clock.Millis(1)
 	// answerMargin is the time that a target's own answer at the deadline has
 	// to arrive.
 	answerMargin = 20 * clock.Millis(1)
@@ -29,24 +25,28 @@
 	c.host.view.first(c.service)
 	done := make(chan *attempt, maxInFlight)
 	var running []*attempt
-	a, x := c.try(nil)
+	a, x := c.try(nil, false)
 	if x != nil {
 		return nil, x
 	}
 	running = append(running, a)
 	go a.run(done)
-	patience := time.NewTimer(c.patience())
+	patience := time.NewTimer(c.patience().Duration())
 	defer patience.Stop()
+	overdue := time.NewTimer(c.longPatience().Duration())
+	defer overdue.Stop()
 	var best *attempt
 	for {
 		select {
 		case <-patience.C:
-			c.host.overdue(c.service, running[len(running)-1])
-			if b := c.second(nil); b != nil {
+			if b := c.hedge(); b != nil {
 				running = append(running, b)
 				go b.run(done)
 			}
 			continue
+		case <-overdue.C:
+			c.host.overdue(c.service, running[0])
+			continue
 		case a = <-done:
 		}
 		running = without(running, a)
@@ -75,13 +75,24 @@
 // maxInFlight bounds the attempts of one call that may be under way.
 const maxInFlight = 8
 
-// second starts another attempt if that is allowed; after is the attempt that
-// has failed, nil if one is only slow.
+// hedge starts another attempt beside a slow one, where a target is idle.
+func (c *call) hedge() *attempt {
+	if !c.idempotent() || !c.mayRetry() {
+		return nil
+	}
+	b, x := c.try(nil, true)
+	if x != nil {
+		return nil
+	}
+	return b
+}
+
+// second starts another attempt after one that has failed, if that is allowed.
 func (c *call) second(after *attempt) *attempt {
-	if after == nil && !c.idempotent() || after != nil && !after.again || !c.mayRetry() {
+	if !after.again || !c.mayRetry() {
 		return nil
 	}
-	b, x := c.try(after)
+	b, x := c.try(after, false)
 	if x != nil {
 		return nil
 	}
@@ -106,14 +117,14 @@
 	}
 }
 
-// patience is how long the first target may take before it counts as slow.
-func (c *call) patience() time.Duration {
-	typical := c.host.view.typical(c.service)
-	if typical == 0 && c.route.Objective > 0 {
-		// None has answered yet, or all within the clock's resolution.
-		return c.route.Objective.Duration()
-	}
-	return (patienceFactor*typical + patienceMin).Duration()
+// patience is how long the first target may take before a second one is asked.
+func (c *call) patience() clock.Millis {
+	return patience(c.host.view.usual(c.route.Name), c.route.Objective)
+}
+
+// longPatience is how long the first target may take before it counts as slow.
+func (c *call) longPatience() clock.Millis {
+	return patience(c.host.view.typical(c.service), 0)
 }
 
 // mayRetry reports whether one more target may be tried.
@@ -128,18 +139,24 @@
 	return c.sent == unsent || c.host.view.again(c.service)
 }
 
-// try chooses a target; last is the attempt before.
-func (c *call) try(last *attempt) (*attempt, *refusal) {
+// try chooses a target; last is the attempt before. A hedge does not wait for
+// room.
+func (c *call) try(last *attempt, hedge bool) (*attempt, *refusal) {
 	now := c.host.Clock.Now()
+	until := now + c.roomWait()
+	if hedge {
+		until = now
+	}
 	ask := balance.Ask{
 		Repeatable: c.idempotent() && len(c.tried) == 0,
 		Spare:      c.sent+1 < max(c.route.Attempts, 1) && c.repeatable(),
 		Bulky:      c.route.Kind == catalog.Upload,
 		Avoid:      c.tried,
+		Idle:       hedge,
 	}
 	h, ok := c.host.await(c.context, &place{
 		service: c.service, ask: ask, waiter: balance.Waiter{Priority: c.priority(), Since: c.start},
-		start: now, until: now + c.roomWait(),
+		start: now, until: until,
 	})
 	now = c.host.Clock.Now()
 	if !ok && last != nil {
--- a/edge/view.go
+++ b/edge/view.go
@@ -32,6 +32,8 @@
 	pools   map[string]*balance.Pool
 	budgets map[string]*share.Retry
 	queues  map[string]*balance.Queue
+	// answers holds how long answers usually take.
+	answers latencies
 	// zonesOut are the zones that get no new work.
 	zonesOut map[string]bool
 }
@@ -40,6 +42,7 @@
 	v.pools = map[string]*balance.Pool{}
 	v.budgets = map[string]*share.Retry{}
 	v.queues = map[string]*balance.Queue{}
+	v.answers = latencies{}
 	v.fleet = &coordinator.Fleet{}
 }
 
@@ -212,6 +215,19 @@
 	return v.budget(service).Spend()
 }
 
+// timed notes how long an answer on a route took, usual returns the average.
+func (v *view) timed(route string, took clock.Millis) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.answers.note(route, took)
+}
+
+func (v *view) usual(route string) clock.Millis {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return clock.Millis(v.answers[route])
+}
+
 // typical returns the usual time of an answer of a service.
 func (v *view) typical(service string) clock.Millis {
 	v.mu.Lock()
