--- a/edge/settings.go
+++ b/edge/settings.go
@@ -28,10 +28,9 @@
 }
 
 // RetryBudget bounds arrivals at targets beyond the first of each request:
-// in each Window at most Ratio times the requests plus Slack.
+// at most Ratio times the requests plus Slack.
 type RetryBudget struct {
 	Ratio, Slack float64
-	Window       clock.Millis
 }
 
 // Headers are the names of the headers that the host reads and sets.
--- /dev/null
+++ b/explain/request.go
@@ -0,0 +1,116 @@
+// Package explain finds in the logs of a fleet what led to the end of a
+// request.
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Line is one line of a log.
+type Line struct {
+	// At is the time of the line in milliseconds since 1970.
+	At float64
+	// Source is what stands before the JSON text, such as the process's name.
+	Source string
+	// Event is the name of the line, Fields all of it.
+	Event  string
+	Fields map[string]any
+	// Text is the line as it was written.
+	Text string
+}
+
+const (
+	// maxLine is the length of the longest line that is read, in bytes.
+	maxLine = 1 << 20
+	// before and after bound what is told besides the request's own lines, in
+	// milliseconds.
+	before, after = 3000, 500
+)
+
+// background are the events that may have led to the end of any request.
+var background = map[string]bool{
+	"role": true, "configuration": true, "exchange failed": true, "quarantined": true, "started": true, "signal": true, "stopped": true,
+}
+
+// Read reads the lines of a log that are JSON; others are left out.
+func Read(r io.Reader) ([]Line, error) {
+	var l []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		if x, ok := parse(s.Text()); ok {
+			l = append(l, x)
+		}
+	}
+	return l, errors.Wrap(s.Err(), "explain.Read")
+}
+
+func parse(text string) (Line, bool) {
+	i := strings.IndexByte(text, '{')
+	if i < 0 {
+		return Line{}, false
+	}
+	x := Line{Source: strings.TrimSpace(text[:i]), Text: text}
+	if json.Unmarshal([]byte(text[i:]), &x.Fields) != nil {
+		return Line{}, false
+	}
+	x.At, _ = x.Fields["ts"].(float64)
+	x.Event, _ = x.Fields["msg"].(string)
+	return x, x.Event != ""
+}
+
+// NotFound is the error of a request that no line names.
+type NotFound struct{ Request string }
+
+// Error describes the failure.
+func (e NotFound) Error() string { return "no line names request " + e.Request }
+
+// Request returns the lines of a request, of the changes of trust in the
+// targets that it was sent to, and of what happened to the control plane
+// shortly before, in the order of time. The error is NotFound.
+func Request(l []Line, id string) ([]Line, error) {
+	var own []Line
+	targets := map[string]bool{}
+	for _, x := range l {
+		if x.Fields["request"] != id {
+			continue
+		}
+		own = append(own, x)
+		if t, ok := x.Fields["target"].(string); ok {
+			targets[t] = true
+		}
+		tried, _ := x.Fields["tried"].([]any)
+		for _, t := range tried {
+			if n, ok := t.(string); ok {
+				targets[n] = true
+			}
+		}
+	}
+	if len(own) == 0 {
+		return nil, errors.WithStack(NotFound{id})
+	}
+	sortLines(own)
+	from, to := own[0].At-before, own[len(own)-1].At+after
+	r := own
+	for _, x := range l {
+		if x.At < from || x.At > to || x.Fields["request"] != nil {
+			continue
+		}
+		t, _ := x.Fields["target"].(string)
+		if background[x.Event] || targets[t] {
+			r = append(r, x)
+		}
+	}
+	sortLines(r)
+	return r, nil
+}
+
+func sortLines(l []Line) {
+	sort.SliceStable(l, func(i, j int) bool { return l[i].At < l[j].At })
+}
