--- a/edge/call.go
+++ b/edge/call.go
@@ -52,6 +52,14 @@
 // idempotent reports whether the request may run more than once.
 func (c *call) idempotent() bool { return c.route.Kind == catalog.Idempotent }
 
+// kind names the kind of the route in metrics.
+func (c *call) kind() string {
+	if c.route == nil {
+		return "none"
+	}
+	return string(c.route.Kind)
+}
+
 // priority is the rank of the request: the account's goes before the route's.
 func (c *call) priority() int {
 	if c.account != nil && c.account.Priority >= 0 {
--- a/edge/host.go
+++ b/edge/host.go
@@ -191,6 +191,7 @@
 		account = c.account.Name
 	}
 	now := c.host.Clock.Now()
+	c.host.metrics.latency.record(c.kind()+".refused", now-c.start)
 	_, age := c.host.view.current(now)
 	c.host.Log.Info("refused", zap.String("request", c.id), zap.String("reason", string(x.reason)), zap.Int("status", x.status),
 		zap.String("cause", x.cause), zap.String("route", name), zap.String("account", account),
@@ -207,6 +208,7 @@
 		// A nil value keeps the library from guessing one.
 		h["Content-Type"] = nil
 	}
+	c.host.metrics.latency.record(c.kind()+".answered", c.host.Clock.Now()-c.start)
 	c.host.metrics.answers.Add(c.service+"."+strconv.Itoa(a.response.StatusCode/100), 1)
 	c.w.WriteHeader(a.response.StatusCode)
 	// A caller that has left has no use for the rest.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -11,7 +11,8 @@
 	answers, refusals, attempts *expvar.Map
 	// bytes counts what was sent within the zone and to other zones, in bytes:
 	// evidence as nearEvidence and farEvidence, bodies of requests alike.
-	bytes *expvar.Map
+	bytes   *expvar.Map
+	latency latencyHistograms
 }
 
 func newMetrics() *metrics {
@@ -21,6 +22,7 @@
 		expvar.Publish("refusals", m.refusals)
 		expvar.Publish("attempts", m.attempts)
 		expvar.Publish("bytes", m.bytes)
+		expvar.Publish("latencyMs", expvar.Func(m.latency.summary))
 	}
 	return m
 }
