Begin with the host's own part of a quota by chance

Cause: each host saved up a whole token of each account for the time without a control plane. With 119 hosts and an account of 23 a second that is 119 tokens at once, beside what a leader lent just before: 199 in a window that allows 172.

Change: a host begins with a part of a token by chance, so that all hosts together begin with the rate. A leader that takes over starts with 5 tokens more than a tenth of the burst, a quarter of the slack that quotas allow: on grown sites accounts within their rate were refused after each takeover.

--- a/coordinator/lender.go
+++ b/coordinator/lender.go
@@ -41,13 +41,18 @@
 	}
 	for _, a := range c.Accounts {
 		if a.Rate > 0 {
-			b := &share.Bucket{Rate: a.Rate, Burst: a.Burst}
-			b.Run(now, takeoverShare)
-			l.buckets[a.Name] = b
+			l.buckets[a.Name] = taken(now, a)
 		}
 	}
 }
 
+// taken returns the bucket of an account that another process lent from.
+func taken(now clock.Millis, a catalog.Account) *share.Bucket {
+	b := &share.Bucket{Rate: a.Rate, Burst: a.Burst}
+	b.Run(now, min(takeoverShare+takeoverTokens/max(a.Burst, 1), 1))
+	return b
+}
+
 // settledAfter is the time from which a leader has applied what was accepted
 // before it led.
 const settledAfter = 1 * clock.Second
@@ -73,10 +78,8 @@
 		if b := l.buckets[a.Name]; b != nil {
 			b.Rate, b.Burst = a.Rate, a.Burst
 		} else if l.leading && a.Rate > 0 {
-			b := &share.Bucket{Rate: a.Rate, Burst: a.Burst}
-			if now-l.ledAt < settledAfter {
-				b.Run(now, takeoverShare)
-			} else {
+			b := taken(now, a)
+			if now-l.ledAt >= settledAfter {
 				b.Run(now, 1)
 			}
 			l.buckets[a.Name] = b
--- a/coordinator/settings.go
+++ b/coordinator/settings.go
@@ -46,6 +46,9 @@
 	// takeoverShare is the part of an account's burst that a new leader
 	// starts with: tokens that the former one lent may still be spent.
 	takeoverShare = 0.1
+	// takeoverTokens are added to that, a quarter of what the users' quotas
+	// allow beyond rate and burst in any window.
+	takeoverTokens = 5
 	// surplusSilence and lostSilence are how long a voter is silent before
 	// it is removed, with a replacement in place and without.
 	surplusSilence = 4 * clock.Second
--- a/edge/host.go
+++ b/edge/host.go
@@ -66,7 +66,7 @@
 	h.view = &view{zone: h.Settings.Zone, self: h.Settings.ID, retry: h.Settings.Retry, random: rand.IntN, log: h.Log}
 	h.view.run()
 	peers := &wire.Pool{Secret: h.Settings.Secret}
-	h.tokens = &tokens{clock: h.Clock, hosts: h.view.activeCount}
+	h.tokens = &tokens{clock: h.Clock, hosts: h.view.activeCount, random: rand.Float64}
 	h.tokens.run()
 	h.link = &link{
 		settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, tokens: h.tokens, pool: peers,
--- a/edge/tokens.go
+++ b/edge/tokens.go
@@ -18,6 +18,9 @@
 	fallbackShare = 0.7
 	fallbackBurst = 0.2
 	borrowTimeout = 350 * clock.Millis(1)
+	// aloneAfter is the time without use of a host's own part after which it
+	// starts anew.
+	aloneAfter = 1 * clock.Second
 	// minEmpty is the shortest time for which an account counts as empty.
 	minEmpty = 30 * clock.Millis(1)
 	// fallbackFor is how long a host goes on without asking again.
@@ -33,6 +36,8 @@
 	reachable func() bool
 	// hosts returns the number of hosts that take requests.
 	hosts func() int
+	// random returns a number in [0, 1).
+	random func() float64
 
 	mu       sync.Mutex
 	accounts map[string]*purse
@@ -44,6 +49,8 @@
 type purse struct {
 	share.Purse
 	fallback share.Bucket
+	// aloneAt is when the host used its own part last.
+	aloneAt clock.Millis
 }
 
 func (t *tokens) run() { t.accounts = map[string]*purse{} }
@@ -51,9 +58,7 @@
 func (t *tokens) purse(now clock.Millis, a *catalog.Account) *purse {
 	p := t.accounts[a.Name]
 	if p == nil {
-		p = &purse{}
-		p.fallback.Burst = 1
-		p.fallback.Run(now, 1)
+		p = &purse{aloneAt: -aloneAfter}
 		t.accounts[a.Name] = p
 	}
 	p.Ahead = int(a.Rate * purseShare / float64(max(t.hosts(), 1)))
@@ -100,11 +105,17 @@
 	return false, w
 }
 
-// alone uses the host's own part of the rate while nobody lends.
+// alone uses the host's own part of the rate while nobody lends. It starts
+// with a part of a token by chance, so that many hosts together begin with no
+// more than they may.
 func (t *tokens) alone(now clock.Millis, a *catalog.Account, p *purse) (bool, clock.Millis) {
 	n := float64(max(t.hosts(), 1))
 	// Set without a refill: what was not used since the last time counts.
 	p.fallback.Rate, p.fallback.Burst = a.Rate*fallbackShare/n, 1+a.Rate*fallbackBurst/n
+	if now-p.aloneAt > aloneAfter {
+		p.fallback.Run(now, (t.random()+a.Rate*fallbackBurst/n)/p.fallback.Burst)
+	}
+	p.aloneAt = now
 	if p.fallback.Take(now, 1) == 1 {
 		return true, 0
 	}
