--- a/cmd/carawayrack/main.go
+++ b/cmd/carawayrack/main.go
@@ -9,7 +9,7 @@
 )
 
 // version is the version of the program.
-const version = "0.2.0"
+const version = "0.3.0"
 
 func main() {
 	p := command.Program{Name: "carawayrack", Version: version, Commands: []command.Command{
