--- a/edge/peers.go
+++ b/edge/peers.go
@@ -55,44 +55,37 @@
 	return m
 }
 
-// turned returns evidence on the targets that this host owns first and whose
-// trust has changed.
-func (v *view) turned(now clock.Millis) []balance.Evidence {
+// gather collects evidence from the pools of all services.
+func (v *view) gather(of func(*balance.Pool) []balance.Evidence) []balance.Evidence {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var l []balance.Evidence
 	for _, p := range v.pools {
-		l = append(l, p.Turned(now)...)
+		l = append(l, of(p)...)
 	}
 	return l
 }
 
-// owned returns the evidence on the targets that this host owns first.
-func (v *view) owned(now clock.Millis) []balance.Evidence {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var l []balance.Evidence
-	for _, p := range v.pools {
-		l = append(l, p.Owned(now)...)
-	}
-	return l
+// turned returns evidence on the targets that this host owns first and on
+// which other zones must change their mind.
+func (v *view) turned(now clock.Millis) []balance.Evidence {
+	return v.gather(func(p *balance.Pool) []balance.Evidence { return p.Turned(now) })
 }
 
-func (v *view) evidenceOf(now clock.Millis, service, id string) (balance.Evidence, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.pool(service).Of(now, id)
+// owned returns the evidence on the targets that this host owns first.
+func (v *view) owned(now clock.Millis) []balance.Evidence {
+	return v.gather(func(p *balance.Pool) []balance.Evidence { return p.Owned(now) })
 }
 
 // digest returns the evidence on the targets of the own zone.
 func (v *view) digest(now clock.Millis) []balance.Evidence {
+	return v.gather(func(p *balance.Pool) []balance.Evidence { return p.Digest(now) })
+}
+
+func (v *view) evidenceOf(now clock.Millis, service, id string) (balance.Evidence, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var l []balance.Evidence
-	for _, p := range v.pools {
-		l = append(l, p.Digest(now)...)
-	}
-	return l
+	return v.pool(service).Of(now, id)
 }
 
 // otherZones returns the hosts of other zones that take requests.
