Send evidence in as many datagrams as it takes

A digest of more than 118 targets was cut at the size of a datagram and the rest never told. One threshold tells small zones from large ones.

--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -23,8 +23,9 @@
 	never   = 0xffff
 	// sameTime is the difference of ages below which two hosts may have seen
 	// the same moment.
-	sameTime     = 5 * clock.Millis(1)
-	evidenceSize = 10
+	sameTime = 5 * clock.Millis(1)
+	// EvidenceSize is the size of one encoded Evidence in bytes.
+	EvidenceSize = 10
 )
 
 // EncodeEvidence appends the binary form of l to b.
@@ -41,12 +42,12 @@
 // DecodeEvidence reads what EncodeEvidence wrote; a torn rest is left out.
 func DecodeEvidence(b []byte) []Evidence {
 	var l []Evidence
-	for len(b) >= evidenceSize {
+	for len(b) >= EvidenceSize {
 		l = append(l, Evidence{
 			Key: binary.LittleEndian.Uint32(b), Busy: b[4], Lacks: b[5],
 			OKAge: binary.LittleEndian.Uint16(b[6:]), FailAge: binary.LittleEndian.Uint16(b[8:]),
 		})
-		b = b[evidenceSize:]
+		b = b[EvidenceSize:]
 	}
 	return l
 }
--- a/balance/owners_test.go
+++ b/balance/owners_test.go
@@ -94,7 +94,7 @@
 
 var _ = Describe("Owners", func() {
 	It("of a small zone are all its hosts", func() {
-		z := newLargeZone(smallZone, 9)
+		z := newLargeZone(SmallZone, 9)
 		for _, h := range z.hosts {
 			Expect(owned(z.pools[h])).To(Equal(9))
 		}
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -27,20 +27,21 @@
 	digestInterval = 1 * clock.Second
 	// gatherFor is the time for which changes are gathered into one datagram.
 	gatherFor = 10 * clock.Millis(1)
-	// closePeers is the number of hosts of a zone up to which one of them
-	// tells other zones of all its targets, farPeers the number in all zones
-	// up to which all are told of each failure.
-	closePeers  = 6
+	// farPeers is the number of hosts in all zones up to which all are told of
+	// each failure.
 	farPeers    = 40
 	datagramMax = 1200
+	// evidenceMax is the number of pieces of evidence that fit a datagram.
+	evidenceMax = 100
 	// datagramHeader is the size of the headers of IP and UDP, in bytes.
 	datagramHeader = 28
 	markSize       = 4
 )
 
-// gossip tells other hosts what this one sees of targets, as datagrams: all
-// changes to the hosts of its own zone, changes of trust to all. One host of
-// each zone sends a digest of its targets to the others.
+// gossip tells other hosts what this one sees of targets, as datagrams: each
+// change to the target's owners, changes of trust to the zone, and in a small
+// fleet to all. Other zones hear from one host of a small zone, or from the
+// first owner of a target.
 type gossip struct {
 	settings Settings
 	clock    clock.Clock
@@ -93,7 +94,7 @@
 		time.Sleep(digestInterval.Duration())
 		l := g.view.peers(false)
 		switch {
-		case len(l) > closePeers:
+		case len(l) > balance.SmallZone:
 			g.send(digest, g.view.owned(g.clock.Now()), l)
 			g.send(partial, g.view.turned(g.clock.Now()), g.view.otherZones())
 		case len(l) > 0 && l[0].ID == g.settings.ID:
@@ -121,11 +122,22 @@
 
 // send sends evidence to hosts.
 func (g *gossip) send(kind byte, l []balance.Evidence, to []coordinator.Host) {
-	if len(l) > 0 {
-		g.post(kind, balance.EncodeEvidence(nil, l), to)
+	for _, b := range pack(l) {
+		g.post(kind, b, to)
 	}
 }
 
+// pack encodes evidence for as many datagrams as it takes.
+func pack(l []balance.Evidence) [][]byte {
+	var r [][]byte
+	for len(l) > 0 {
+		k := min(len(l), evidenceMax)
+		r = append(r, balance.EncodeEvidence(nil, l[:k]))
+		l = l[k:]
+	}
+	return r
+}
+
 // suspect tells all hosts of a request that crashes its targets.
 func (g *gossip) suspect(payload []byte) { g.post(crash, payload, g.view.peers(true)) }
 
@@ -135,9 +147,6 @@
 	b = append(b, kind, byte(len(g.settings.ID)))
 	b = append(b, g.settings.ID...)
 	b = append(b, payload...)
-	if len(b) > datagramMax {
-		b = b[:datagramMax]
-	}
 	for _, h := range to {
 		if h.ID == g.settings.ID {
 			continue
