Do not hold the first request's work against its target

Without any answer yet a request counted as overdue after 100 ms, so that a host that had just started lost trust in the targets of its first requests.

A specification fails without the change.

--- a/edge/patience_test.go
+++ b/edge/patience_test.go
@@ -4,6 +4,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 )
 
@@ -34,3 +35,14 @@
 		Expect(patience(0, 700)).To(Equal(clock.Millis(700)))
 	})
 })
+
+var _ = Describe("long patience", func() {
+	// The pattern of a host that has just started: no answer has come yet.
+	It("does not hold the work of the first request against its target", func() {
+		w := newWorld(newStandin("t", ok))
+		c := &call{host: w.host, service: "s", route: &w.host.view.config.Routes[0]}
+		Expect(c.longPatience()).To(BeNumerically(">", c.route.Objective))
+		w.host.view.pool("s").Done(0, "t", balance.Result{Outcome: balance.Served, Took: 50})
+		Expect(c.longPatience()).To(Equal(longPatience*c.host.view.typical("s") + patienceMin))
+	})
+})
--- a/edge/send.go
+++ b/edge/send.go
@@ -124,7 +124,12 @@
 
 // longPatience is how long the first target may take before it counts as slow.
 func (c *call) longPatience() clock.Millis {
-	return patience(c.host.view.typical(c.service), 0)
+	typical := c.host.view.typical(c.service)
+	if typical == 0 {
+		// None has answered yet.
+		return c.route.Objective + patienceMin
+	}
+	return patience(typical, 0)
 }
 
 // mayRetry reports whether one more target may be tried.
