Bound heads of responses and late responses to other requests

Cause: http.ReadResponse has no limit, so a target that sends a status line, headers or interim responses without end filled the host's memory until the deadline. Of a late response to another request only the first MiB was skipped, and what followed was read as the next response: a body with the text of a response in it reached the caller as its own.

Change: at most 64 KiB of heads for each response, interim ones included; a late response of more than 1 MiB ends the connection. An exchange whose request body fails ends at once and does not blame the target.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 
@@ -26,6 +27,11 @@
 	written   atomic.Int64
 	reused    bool
 	idleSince clock.Millis
+	// headLeft is the number of bytes that may still be read of the heads of
+	// responses; it counts only while inHead is true. tooLarge is set once it is
+	// used up.
+	headLeft         int
+	inHead, tooLarge bool
 	// idleLimit is how long the target keeps the idle connection open, less a
 	// margin; zero if it has not announced a time.
 	idleLimit clock.Millis
@@ -38,6 +44,43 @@
 	return n, err
 }
 
+// maxHead bounds the status line and headers of a response together with the
+// interim responses before it, in bytes.
+const maxHead = 64 << 10
+
+// HeadTooLarge is the cause of rejecting a response whose head exceeds the limit.
+type HeadTooLarge struct{}
+
+// Error describes the cause.
+func (HeadTooLarge) Error() string { return "the head of the response exceeds the limit" }
+
+// Read reads into b. The error is HeadTooLarge once the limit of a head is used
+// up.
+func (c *Conn) Read(b []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(b)
+	}
+	if c.headLeft <= 0 {
+		c.tooLarge = true
+		return 0, HeadTooLarge{}
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
+// readResponse reads the head of a response.
+func (c *Conn) readResponse(r *http.Request) (*http.Response, error) {
+	c.inHead = true
+	a, err := http.ReadResponse(c.reader, r)
+	c.inHead = false
+	if err != nil && c.tooLarge {
+		// http.ReadResponse reports a part of a line as malformed.
+		return nil, HeadTooLarge{}
+	}
+	return a, err
+}
+
 // dial opens a connection to addr.
 func (p *Pool) dial(addr string) (*Conn, error) {
 	millis := int(p.unackedTimeout())
@@ -48,7 +91,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn, addr: addr, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
+	c := &Conn{Conn: conn, addr: addr}
+	c.reader = bufio.NewReaderSize(c, bufferSize)
+	return c, nil
 }
 
 func setUserTimeout(c syscall.RawConn, millis int) error {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -43,6 +43,8 @@
 	conn      *Conn
 	response  *http.Response
 	writeDone chan error
+	// body is the body of Request, nil if it has none.
+	body *requestBody
 	// sentAt is the time at which the whole request had been sent, in nanoseconds
 	// since start.
 	sentAt         atomic.Int64
@@ -85,6 +87,10 @@
 	e.writeDone = make(chan error, 1)
 	e.start = time.Now()
 	e.context = ctx
+	if e.Request.Body != nil {
+		e.body = &requestBody{ReadCloser: e.Request.Body}
+		e.Request.Body = e.body
+	}
 	e.stopInterrupt = context.AfterFunc(ctx, e.interrupt)
 	if e.Request.ContentLength >= 0 && e.Request.ContentLength <= inlineBody {
 		e.run()
@@ -115,6 +121,10 @@
 // run writes the request and then starts the timeout for the first byte.
 func (e *Exchange) run() {
 	err := e.Request.Write(e.conn)
+	if e.body != nil && e.body.err() != nil {
+		// The target would wait for the rest.
+		e.interrupt()
+	}
 	e.sentAt.Store(int64(time.Since(e.start)))
 	if err == nil && e.FirstByte > 0 {
 		e.setReadDeadline(e.firstByteDeadline())
@@ -149,8 +159,9 @@
 
 func (e *Exchange) readResponse() (*http.Response, error) {
 	skipped := 0
+	e.conn.headLeft = maxHead
 	for {
-		r, err := http.ReadResponse(e.conn.reader, e.Request)
+		r, err := e.conn.readResponse(e.Request)
 		if err != nil {
 			return nil, err
 		}
@@ -161,9 +172,10 @@
 			if skipped++; skipped > maxMismatched {
 				return nil, MismatchedResponse{}
 			}
-			if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxMismatchedBody)); err != nil {
+			if err := skipBody(r); err != nil {
 				return nil, err
 			}
+			e.conn.headLeft = maxHead
 			continue
 		}
 		e.mu.Lock()
@@ -177,8 +189,19 @@
 	}
 }
 
+// skipBody reads the body of a response to another request to its end. A body
+// that is too large is not skipped: what follows on the connection would be the
+// rest of it.
+func skipBody(r *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxMismatchedBody+1))
+	if err == nil && n > maxMismatchedBody {
+		return MismatchedResponse{}
+	}
+	return err
+}
+
 // MismatchedResponse is the cause of closing a connection that carries too many
-// responses to other requests.
+// responses to other requests, or too much of them.
 type MismatchedResponse struct{}
 
 // Error describes the cause.
@@ -203,8 +226,11 @@
 // classify returns the failure of an exchange without a response.
 func (e *Exchange) classify(ctx context.Context, err error) *Failure {
 	f := &Failure{Cause: err, NotRun: e.conn.written.Load() == 0}
+	if e.body != nil && e.body.err() != nil {
+		f.Cause = BodyFailed{e.body.err()}
+	}
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.As(f.Cause, &BodyFailed{}):
 		f.Outcome = slots.Cancelled
 	case errors.Is(err, os.ErrDeadlineExceeded) && e.conn.reused:
 		f.Outcome = slots.SilentConnection
