Run pipelined requests concurrently and answer them in order

Cause: net/http reads a pipelined request once the one before it is answered, so that one slow request kept all behind it from starting, and a caller that left was not noticed once it had sent another request.

Change: package pipeline serves callers. Requests on idempotent routes run beside each other, at most 8 at work and 32 read on a connection; others wait until all earlier responses are sent. Requests behind a response that ends the connection are not started. A request's time runs from its arrival. Bodies without a length count against the limit, a body that stops is refused at its deadline, and a response without the request's ID is not trusted.

The specs of bodies without end and of late copies without an ID failed before (one never ended).

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -67,6 +67,12 @@
 		return a.handleFailure(err.(*forward.Failure))
 	}
 	a.response = r
+	if r.Header.Get(c.host.Headers.RequestID) != c.id {
+		// It may be a late copy of the response to an earlier request, so nothing
+		// that it says is known of this one.
+		c.mayHaveRun.Store(true)
+		return a.reject(InvalidResponse{"without the request's ID"})
+	}
 	if r.Header.Get(c.host.Headers.NotRun) != "" {
 		a.finish(balance.Shed)
 		return &refusal{TargetsFull, http.StatusServiceUnavailable, retryAfterFull, a.choice.ID + " shed the request"}, true
@@ -104,7 +110,7 @@
 	c.mayHaveRun.Store(true)
 	if f.Outcome == slots.Cancelled {
 		a.finish(a.cancelOutcome())
-		return &refusal{CallerLeft, http.StatusBadGateway, 0, "while a target ran the request"}, false
+		return bodyRefusal(f.Cause), false
 	}
 	if f.Outcome == slots.TimedOut || f.Outcome == slots.SilentConnection {
 		a.finish(balance.TimedOut)
@@ -118,6 +124,20 @@
 	return &refusal{TargetFailed, http.StatusBadGateway, 0, f.Error()}, c.idempotent()
 }
 
+// bodyRefusal returns the refusal for a request whose caller left or did not send
+// the whole body.
+func bodyRefusal(cause error) *refusal {
+	var large *http.MaxBytesError
+	var failed forward.BodyFailed
+	switch {
+	case errors.As(cause, &large):
+		return &refusal{BodyTooLarge, http.StatusRequestEntityTooLarge, 0, large.Error()}
+	case errors.As(cause, &failed):
+		return &refusal{BadRequest, http.StatusBadRequest, 0, failed.Error()}
+	}
+	return &refusal{CallerLeft, http.StatusBadGateway, 0, "while a target ran the request"}
+}
+
 // cancelOutcome returns the outcome of a cancelled attempt: a timeout if the
 // target was overdue and another attempt was faster.
 func (a *attempt) cancelOutcome() balance.Outcome {
@@ -146,12 +166,7 @@
 		err = InvalidResponse{"larger than " + strconv.Itoa(maxBufferedResponse-1) + " bytes"}
 	}
 	if err != nil {
-		if a.context.Err() != nil {
-			a.finish(a.cancelOutcome())
-			return &refusal{CallerLeft, http.StatusBadGateway, 0, "while a target ran the request"}, false
-		}
-		a.finish(balance.Broken)
-		return &refusal{TargetFailed, http.StatusBadGateway, 0, err.Error()}, c.idempotent()
+		return a.reject(err)
 	}
 	a.body = b
 	o := balance.Served
@@ -162,6 +177,17 @@
 	return nil, o == balance.Failed && c.idempotent()
 }
 
+// reject finishes an attempt whose response must not be forwarded. It returns
+// what execute returns.
+func (a *attempt) reject(err error) (*refusal, bool) {
+	if a.context.Err() != nil {
+		a.finish(a.cancelOutcome())
+		return &refusal{CallerLeft, http.StatusBadGateway, 0, "while a target ran the request"}, false
+	}
+	a.finish(balance.Broken)
+	return &refusal{TargetFailed, http.StatusBadGateway, 0, err.Error()}, a.call.idempotent()
+}
+
 // validate checks that the response may be forwarded as the target's response to
 // this request. The error is InvalidResponse.
 func (a *attempt) validate() error {
@@ -173,8 +199,6 @@
 		return InvalidResponse{"encoded as " + h.Get("Content-Encoding")}
 	case ok && h.Get(n.Seal) == "":
 		return InvalidResponse{"success without the seal header"}
-	case ok && h.Get(n.RequestID) != a.call.id:
-		return InvalidResponse{"success without the request's ID"}
 	case impliesNotRun(a.response.StatusCode) && !a.call.idempotent():
 		return InvalidResponse{"status " + strconv.Itoa(a.response.StatusCode) + " of a target that ran the request"}
 	}
--- a/edge/call.go
+++ b/edge/call.go
@@ -7,10 +7,13 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 )
@@ -85,11 +88,7 @@
 			return &refusal{ConfigNotCurrent, http.StatusServiceUnavailable, clock.Second, "no current configuration"}
 		}
 	}
-	name, _, err := net.SplitHostPort(c.r.Host)
-	if err != nil {
-		name = c.r.Host
-	}
-	if c.route = f.Match(name, c.r.URL.Path); c.route == nil {
+	if c.route = f.Match(hostName(c.r), c.r.URL.Path); c.route == nil {
 		return &refusal{NoRoute, http.StatusNotFound, 0, "version " + strconv.FormatUint(f.Version, 10)}
 	}
 	key := c.r.Header.Get(c.host.Headers.Key)
@@ -107,6 +106,15 @@
 	return c.takeToken()
 }
 
+// hostName returns the host of a request without the port.
+func hostName(r *http.Request) string {
+	name, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		return r.Host
+	}
+	return name
+}
+
 // setDeadline sets the time at which the request times out.
 func (c *call) setDeadline() {
 	d := defaultDeadline
@@ -131,8 +139,8 @@
 	return &refusal{OverQuota, http.StatusTooManyRequests, wait, "account " + c.account.Name}
 }
 
-// readBody reads the body up to maxBufferedBody. It refuses a body whose
-// Content-Length exceeds the limit; a body without one is not checked.
+// readBody reads the body up to maxBufferedBody. It refuses a body that exceeds
+// the limit, and one that does not arrive before the deadline.
 func (c *call) readBody(limit int64) *refusal {
 	if limit <= 0 {
 		limit = defaultBodyLimit
@@ -144,8 +152,17 @@
 	if c.bodyLength == 0 {
 		return nil
 	}
+	// The error is that of a server that does not support deadlines.
+	_ = http.NewResponseController(c.w).SetReadDeadline(c.netDeadline(c.deadline))
+	c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	b, err := io.ReadAll(io.LimitReader(c.r.Body, maxBufferedBody))
-	if err != nil {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &refusal{BodyTooLarge, http.StatusRequestEntityTooLarge, 0, "more than " + strconv.FormatInt(limit, 10)}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{BodyTooLate, http.StatusRequestTimeout, 0, strconv.Itoa(len(b)) + " bytes arrived"}
+	case err != nil:
 		return &refusal{BadRequest, http.StatusBadRequest, 0, "cannot read the request body: " + err.Error()}
 	}
 	c.body = b
--- a/edge/host.go
+++ b/edge/host.go
@@ -17,6 +17,7 @@
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/forward"
+	"github.com/carawayrack/carawayrack/pipeline"
 	"github.com/carawayrack/carawayrack/wire"
 )
 
@@ -39,7 +40,7 @@
 	poison      *poisonDetector
 	targetConns *forward.Pool
 	metrics     *metrics
-	server      *http.Server
+	server      *pipeline.Server
 	leaving     atomic.Bool
 	started     clock.Millis
 }
@@ -51,9 +52,10 @@
 	unackedTimeout = 1500 * clock.Millis(1)
 	idleTimeout    = 6 * clock.Second
 	freshIdle      = 3 * clock.Second
-	// Connections of callers.
-	callerIdle    = 75 * time.Second
-	headerTimeout = 10 * time.Second
+	// Connections of callers, if the configuration has no limits.
+	callerIdle    = 75 * clock.Second
+	headerTimeout = 10 * clock.Second
+	headerBytes   = 64 << 10
 	// configWait is how long a request waits for a current configuration.
 	configWait         = 400 * clock.Millis(1)
 	configPollInterval = 10 * clock.Millis(1)
@@ -105,20 +107,69 @@
 	if err != nil {
 		return errors.Wrap(err, "edge.listen")
 	}
-	h.server = &http.Server{Handler: h, IdleTimeout: callerIdle, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(h.Log)}
+	h.server = h.callerServer()
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+h.ReadyPath, h.serveReady)
-	go h.serveLoop(h.server, l)
-	go h.serveLoop(&http.Server{Handler: m, IdleTimeout: callerIdle, ReadHeaderTimeout: headerTimeout}, r)
+	s := &http.Server{
+		Handler: m, IdleTimeout: callerIdle.Duration(), ReadHeaderTimeout: headerTimeout.Duration(), ErrorLog: zap.NewStdLog(h.Log),
+	}
+	go h.serveLoop(h.server.Run, l)
+	go h.serveLoop(s.Serve, r)
 	return nil
 }
 
-func (h *Host) serveLoop(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != http.ErrServerClosed {
+func (h *Host) serveLoop(serve func(net.Listener) error, l net.Listener) {
+	if err := serve(l); err != nil {
 		h.Log.Error("a listener failed", zap.String("address", l.Addr().String()), zap.Error(err))
 	}
 }
 
+// callerServer returns the server for the connections of callers.
+func (h *Host) callerServer() *pipeline.Server {
+	return &pipeline.Server{Handler: h, Independent: h.independent, Limits: h.callerLimits, NotRead: h.logNotRead, Log: h.Log}
+}
+
+// callerLimits returns the limits of the configuration for connections of
+// callers.
+func (h *Host) callerLimits() pipeline.Limits {
+	l := pipeline.Limits{HeaderBytes: headerBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	c, _ := h.view.current(h.Clock.Now())
+	if c == nil {
+		return l
+	}
+	// The limit counts what callers send; the host reads ahead by a buffer.
+	if c.Limits.HeaderBytes > 0 {
+		l.HeaderBytes = c.Limits.HeaderBytes
+	}
+	if c.Limits.HeaderTimeout > 0 {
+		l.HeaderTimeout = c.Limits.HeaderTimeout
+	}
+	if c.Limits.IdleTimeout > 0 {
+		l.IdleTimeout = c.Limits.IdleTimeout
+	}
+	return l
+}
+
+// independent reports whether a request may run beside others of its
+// connection: those on idempotent routes may, and those that are refused at
+// once.
+func (h *Host) independent(r *http.Request) bool {
+	c, _ := h.view.current(h.Clock.Now())
+	if c == nil {
+		return true
+	}
+	t := c.Match(hostName(r), r.URL.Path)
+	return t == nil || t.Kind == catalog.Idempotent
+}
+
+// logNotRead logs that a request was sent behind a response that ends its
+// connection.
+func (h *Host) logNotRead(r *http.Request) {
+	h.metrics.refusals.Add(string(NotRead), 1)
+	h.Log.Info("not read", zap.String("request", r.Header.Get(h.Headers.RequestID)),
+		zap.String("cause", "the connection ends with the response to an earlier request"), zap.Bool("leaving", h.leaving.Load()))
+}
+
 // Ready reports whether the host can serve requests.
 func (h *Host) Ready() bool {
 	c, age := h.view.current(h.Clock.Now())
@@ -158,11 +209,13 @@
 
 // ServeHTTP serves one request of a caller.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{host: h, w: w, r: r, context: r.Context(), id: r.Header.Get(h.Headers.RequestID), start: h.Clock.Now()}
-	h.control.noteRequest(c.start)
-	if h.leaving.Load() {
-		w.Header().Set("Connection", "close")
+	now := h.Clock.Now()
+	c := &call{host: h, w: w, r: r, context: r.Context(), id: r.Header.Get(h.Headers.RequestID), start: now}
+	if t, ok := pipeline.Received(c.context); ok {
+		// The caller's time runs while the request waits for earlier ones.
+		c.start -= clock.FromDuration(time.Since(t))
 	}
+	h.control.noteRequest(now)
 	if x := c.admit(); x != nil {
 		c.refuse(x)
 		return
@@ -211,10 +264,6 @@
 	h := c.w.Header()
 	copyHeader(h, a.response.Header)
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
-	if _, ok := h["Content-Type"]; !ok {
-		// A nil value prevents net/http from guessing one.
-		h["Content-Type"] = nil
-	}
 	c.host.metrics.latency.record(c.kind()+".answered", c.host.Clock.Now()-c.start)
 	c.host.metrics.responses.Add(c.service+"."+strconv.Itoa(a.response.StatusCode/100), 1)
 	c.w.WriteHeader(a.response.StatusCode)
@@ -237,12 +286,13 @@
 func (h *Host) Stop() {
 	start := time.Now()
 	h.leaving.Store(true)
+	h.server.Drain()
 	h.control.trigger()
 	g := h.Settings.Grace.Duration()
 	time.Sleep(time.Duration(float64(g) * acceptShare))
 	x, stop := context.WithDeadline(context.Background(), start.Add(g-finishMargin.Duration()))
 	defer stop()
-	if err := h.server.Shutdown(x); err != nil {
+	if err := h.server.Stop(x); err != nil {
 		h.Log.Warn("requests were still in flight at the end of the grace period", zap.Error(err))
 	}
 }
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"math/rand"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -65,11 +68,39 @@
 		Expect(t.requests()).To(Equal(0))
 	})
 
-	It("is refused if its Content-Length is larger than allowed", func() {
-		w := newTestHost(newStandin("t1", ok))
+	It("is refused if its body is larger than allowed, with and without a length", func() {
+		t := newStandin("t1", ok)
+		w := newTestHost(t)
 		c, _ := w.host.view.current(w.host.Clock.Now())
 		c.Limits.BodyBytes = 3
 		Expect(w.post("/unsafe/", "four").status).To(Equal(413))
+		Expect(w.chunked("/unsafe/", strings.NewReader("four")).status).To(Equal(413))
+		Expect(t.requests()).To(Equal(0))
+	})
+
+	It("whose body has no end is refused, and the target is not blamed", func() {
+		t := newStandin("t1", ok)
+		w := newTestHost(t)
+		c, _ := w.host.view.current(w.host.Clock.Now())
+		c.Limits.BodyBytes = 2 * maxBufferedBody
+		Expect(w.chunked("/unsafe/", &endless{}).status).To(Equal(413))
+		Expect(t.requests()).To(Equal(0))
+		Expect(w.host.metrics.attempts.Get("s.cancelled").String()).To(Equal("1"))
+		Expect(w.post("/unsafe/", "b").status).To(Equal(200))
+	})
+
+	It("whose body stops is refused at its deadline as not run", func() {
+		t := newStandin("t1", ok)
+		w := newTestHost(t)
+		k, err := net.Dial("tcp", w.server.ln.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer k.Close()
+		_, err = io.WriteString(k, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nKey: k1\r\nReq-Id: r1\r\nLeft: 100\r\nContent-Length: 9\r\n\r\nhalf")
+		Expect(err).NotTo(HaveOccurred())
+		r, err := http.ReadResponse(bufio.NewReader(k), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.StatusCode).To(Equal(408))
+		Expect(t.requests()).To(Equal(0))
 	})
 
 	It("that is idempotent goes to a second target when the first closes the connection", func() {
@@ -171,6 +202,11 @@
 	})
 })
 
+// endless is a body without end.
+type endless struct{}
+
+func (*endless) Read(b []byte) (int, error) { return len(b), nil }
+
 // caller sends one request.
 type caller struct {
 	request *http.Request
@@ -196,6 +232,8 @@
 		Entry("without a seal", "HTTP/1.1 200 OK\r\nReq-Id: ID\r\nContent-Length: 5\r\n\r\nhello"),
 		Entry("encoded", "HTTP/1.1 200 OK\r\nReq-Id: ID\r\nSeal: x\r\nContent-Encoding: gzip\r\nContent-Length: 5\r\n\r\nhello"),
 		Entry("without an ID", "HTTP/1.1 200 OK\r\nSeal: x\r\nContent-Length: 5\r\n\r\nhello"),
+		Entry("a late copy without an ID that says that an earlier request has not run", "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 2\r\n\r\nno"),
+		Entry("a late copy without an ID of an earlier failure", "HTTP/1.1 500 X\r\nSeal: x\r\nContent-Length: 2\r\n\r\nno"),
 		Entry("truncated chunks", "HTTP/1.1 200 OK\r\nReq-Id: ID\r\nSeal: x\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n5\r\nhello\r\n"),
 	)
 
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -25,6 +25,10 @@
 	TargetFailed     Reason = "targetFailed"
 	CallerLeft       Reason = "callerLeft"
 	Quarantined      Reason = "quarantined"
+	BodyTooLate      Reason = "bodyTooLate"
+	// NotRead counts requests behind a response that ends their connection; they
+	// get no response.
+	NotRead Reason = "notRead"
 )
 
 // refusal is a response of the host itself.
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -137,7 +136,7 @@
 // testHost is a host with stand-in targets and without a control process.
 type testHost struct {
 	host   *Host
-	server *httptest.Server
+	server *callerServer
 	// tokensLeft is the number of tokens that borrow still lends.
 	tokensLeft int
 	// down makes targets refuse the connections of crash checks.
@@ -186,11 +185,30 @@
 	w.host = h
 	w.set(targets...)
 	h.view.confirmCurrent(h.Clock.Now())
-	w.server = httptest.NewServer(h)
-	DeferCleanup(w.server.Close)
+	h.server = h.callerServer()
+	w.server = newCallerServer(h)
 	return w
 }
 
+// callerServer is the listener of a host.
+type callerServer struct {
+	// URL is the address with its scheme.
+	URL  string
+	host *Host
+	ln   net.Listener
+}
+
+func newCallerServer(h *Host) *callerServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &callerServer{"http://" + l.Addr().String(), h, l}
+	DeferCleanup(h.server.Close)
+	go s.run()
+	return s
+}
+
+func (s *callerServer) run() { _ = s.host.server.Run(s.ln) }
+
 func (w *testHost) borrow(a coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
 	n := min(w.tokensLeft, a.Tokens)
 	w.tokensLeft -= n
@@ -245,6 +263,34 @@
 	return response{r.StatusCode, string(b), r.Header}, err
 }
 
+// chunked sends a body without a Content-Length. The host may respond before it
+// has read the body.
+func (w *testHost) chunked(path string, body io.Reader) response {
+	k, err := net.Dial("tcp", w.server.ln.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	defer k.Close()
+	q, err := http.NewRequest(http.MethodPost, "http://h"+path, body)
+	Expect(err).NotTo(HaveOccurred())
+	q.ContentLength = -1
+	q.Header.Set("Req-Id", "r1")
+	q.Header.Set("Key", "k1")
+	s := &requestWriter{q, k}
+	go s.run()
+	r, err := http.ReadResponse(bufio.NewReader(k), q)
+	Expect(err).NotTo(HaveOccurred())
+	b, err := io.ReadAll(r.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response{r.StatusCode, string(b), r.Header}
+}
+
+// requestWriter writes a request until the host closes the connection.
+type requestWriter struct {
+	request *http.Request
+	conn    net.Conn
+}
+
+func (s *requestWriter) run() { _ = s.request.Write(s.conn) }
+
 func (w *testHost) get(path string, header ...string) response {
 	a, err := w.call(http.MethodGet, path, "", header...)
 	Expect(err).NotTo(HaveOccurred())
