Relay health changes between zones, within a budget of bytes

Cause: in a large fleet the first owner of a target sent each lasting change to every host of all other zones, and each host that saw a change to every host of its zone.

Change: reports to another zone go to one of 16 of its hosts, by turns, three times. These pass the newest observation of each target on, with its age, at most 15 kB a second. A host broadcasts at most 10 kB a second of health changes in its zone; beyond that the next digest of the first owner tells.

--- a/balance/observation.go
+++ b/balance/observation.go
@@ -41,6 +41,19 @@
 	ObservationSize = 10
 )
 
+// Older returns the observation as it is d later.
+func (e Observation) Older(d clock.Millis) Observation {
+	e.OKAge, e.FailAge = older(e.OKAge, d), older(e.FailAge, d)
+	return e
+}
+
+func older(age uint16, d clock.Millis) uint16 {
+	if age == never || clock.Millis(age)+d >= never {
+		return never
+	}
+	return age + uint16(max(d, 0))
+}
+
 // EncodeObservations appends the binary form of l to b and returns the result.
 func EncodeObservations(b []byte, l []Observation) []byte {
 	for _, e := range l {
@@ -97,6 +110,10 @@
 	return m
 }
 
+// remoteReports is the number of times that a health change is reported to other
+// zones, since reports may be lost.
+const remoteReports = 3
+
 // remoteReportDelay is how long a target must be unhealthy before this is
 // reported to other zones: they rarely use the target, and most failures are
 // short.
@@ -104,15 +121,22 @@
 
 // TakeHealthChanges returns observations of the targets of which this host is
 // the first owner and whose health differs from what was last reported to other
-// zones. It marks them as reported.
+// zones, or was reported less than remoteReports times. It counts them as
+// reported.
 func (p *Pool) TakeHealthChanges(now clock.Millis) []Observation {
 	var l []Observation
 	for _, t := range p.order {
 		unhealthy := t.successesNeeded > 0
-		if !p.isFirstOwner(t) || unhealthy == t.reportedUnhealthy || unhealthy && now-t.healthChangedAt < remoteReportDelay {
+		if !p.isFirstOwner(t) {
+			continue
+		}
+		if unhealthy != t.reportedUnhealthy && (!unhealthy || now-t.healthChangedAt >= remoteReportDelay) {
+			t.reportedUnhealthy, t.reportsLeft = unhealthy, remoteReports
+		}
+		if unhealthy != t.reportedUnhealthy || t.reportsLeft == 0 {
 			continue
 		}
-		t.reportedUnhealthy = unhealthy
+		t.reportsLeft--
 		l = append(l, t.observation(now))
 	}
 	return l
--- a/balance/owners_test.go
+++ b/balance/owners_test.go
@@ -223,6 +223,9 @@
 		t := first.TakeHealthChanges(101 + gossipDelay + remoteReportDelay)
 		Expect(t).To(HaveLen(1))
 		Expect(t[0].Key).To(Equal(key(id)))
+		for range remoteReports - 1 {
+			Expect(first.TakeHealthChanges(2000)).To(HaveLen(1), "a report may be lost")
+		}
 		Expect(first.TakeHealthChanges(2000)).To(BeEmpty())
 		for i := clock.Millis(0); i < maxSuccessesNeeded; i++ {
 			first.targets[id].inFlight++
--- a/balance/target.go
+++ b/balance/target.go
@@ -43,6 +43,8 @@
 	// reportedUnhealthy is true if the target was last reported to other zones
 	// as unhealthy.
 	reportedUnhealthy bool
+	// reportsLeft is the number of times that this is still to be reported.
+	reportsLeft int
 	// pathSuspected is true if the last failure may be one of the network path
 	// between this host and the target.
 	pathSuspected bool
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"net"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,11 +19,14 @@
 	kindChanges = iota
 	// kindDigest datagrams hold observations of all serving targets of the
 	// sender's zone, for other zones, or of all that the sender owns first, for
-	// the local zone.
+	// the local zone, or what a relay has received from other zones.
 	kindDigest
 	// kindCrash datagrams report that a target crashed while it ran a request,
 	// or that a suspected request was answered.
 	kindCrash
+	// kindRelay datagrams hold changes that the receiver passes on to the hosts of
+	// its zone.
+	kindRelay
 )
 
 const (
@@ -45,7 +49,8 @@
 // datagrams. The owners of a target get every change. Health changes go to the
 // hosts of the local zone; in a fleet of up to maxBroadcastHosts, each failure
 // and each probe goes to all hosts. Other zones get further observations from
-// one host of a small zone, or from the first owner of a target.
+// one host of a small zone, or from the first owner of a target by way of a few
+// hosts of each zone that pass them on.
 type gossip struct {
 	settings Settings
 	clock    clock.Clock
@@ -58,6 +63,15 @@
 	// tag is the start of the SHA-256 sum of the secret; datagrams without it
 	// are dropped.
 	tag [tagSize]byte
+	// transmit sends a datagram to an address.
+	transmit func(payload []byte, addr string)
+	relay    relay
+	// rounds counts the reports to other zones.
+	rounds int
+	// budgetMu guards broadcasts, the budget of health changes sent to the hosts of
+	// a large zone.
+	budgetMu   sync.Mutex
+	broadcasts byteBudget
 	// dirty is signalled when there are changed observations to send.
 	dirty chan struct{}
 }
@@ -72,10 +86,12 @@
 	}
 	s := sha256.Sum256([]byte(g.settings.Secret))
 	copy(g.tag[:], s[:])
+	g.transmit = g.transmitUDP
 	g.dirty = make(chan struct{}, 1)
 	go g.receiveLoop()
 	go g.loop()
 	go g.digestLoop()
+	go g.relayLoop()
 	return nil
 }
 
@@ -100,14 +116,40 @@
 func (g *gossip) digestLoop() {
 	for {
 		time.Sleep(digestInterval.Duration())
-		l := g.view.activeHosts(false)
-		switch {
-		case len(l) > balance.SmallZoneHosts:
-			g.send(kindDigest, g.view.firstOwned(g.clock.Now()), l)
-			g.send(kindChanges, g.view.takeHealthChanges(g.clock.Now()), g.view.otherZones())
-		case len(l) > 0 && l[0].ID == g.settings.ID:
-			g.send(kindDigest, g.view.digest(g.clock.Now()), g.view.otherZones())
-		}
+		g.sendDigest()
+	}
+}
+
+// sendDigest sends a digest to the hosts of the local zone, or of the others if
+// the local zone is small, and health changes to the relays of other zones.
+func (g *gossip) sendDigest() {
+	l := g.view.activeHosts(false)
+	switch {
+	case len(l) > balance.SmallZoneHosts:
+		g.send(kindDigest, g.view.firstOwned(g.clock.Now()), l)
+		g.rounds++
+		g.send(kindRelay, g.view.takeHealthChanges(g.clock.Now()), relayFor(g.view.otherZones(), g.settings.ID, g.rounds))
+	case len(l) > 0 && l[0].ID == g.settings.ID:
+		g.send(kindDigest, g.view.digest(g.clock.Now()), g.view.otherZones())
+	}
+}
+
+func (g *gossip) relayLoop() {
+	for {
+		time.Sleep(relayInterval.Duration())
+		g.sendRelayed()
+	}
+}
+
+// sendRelayed passes on what other zones have reported.
+func (g *gossip) sendRelayed() {
+	now := g.clock.Now()
+	n := 0
+	for _, b := range pack(g.relay.take(now)) {
+		n += g.sendDatagram(kindDigest, b, g.view.activeHosts(false))
+	}
+	if n > 0 {
+		g.relay.sent(now, n)
 	}
 }
 
@@ -125,12 +167,34 @@
 			return
 		}
 		l = g.view.activeHosts(false)
+		if !g.spendBroadcast(len(l)) {
+			// The hosts learn of it from the next digest of the first owner.
+			return
+		}
 	}
 	if e, ok := g.view.observationOf(g.clock.Now(), service, id); ok {
 		g.send(kindChanges, []balance.Observation{e}, l)
 	}
 }
 
+const (
+	// broadcastBudget is the number of bytes a second for health changes sent to
+	// the hosts of a large zone, broadcastDepth that sent at once.
+	broadcastBudget = 10_000
+	broadcastDepth  = 12_000
+	// observationDatagram is the size of a datagram with one observation, with a
+	// usual length of a host's ID.
+	observationDatagram = 80
+)
+
+// spendBroadcast takes a broadcast to a number of hosts from the budget.
+func (g *gossip) spendBroadcast(hosts int) bool {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	g.broadcasts.rate, g.broadcasts.depth = broadcastBudget, broadcastDepth
+	return g.broadcasts.spend(g.clock.Now(), hosts*observationDatagram)
+}
+
 // send sends observations to hosts.
 func (g *gossip) send(kind byte, l []balance.Observation, to []coordinator.Host) {
 	for _, b := range pack(l) {
@@ -154,25 +218,33 @@
 	g.sendDatagram(kindCrash, payload, g.view.activeHosts(true))
 }
 
-// sendDatagram sends one datagram to each of the hosts but this one.
-func (g *gossip) sendDatagram(kind byte, payload []byte, to []coordinator.Host) {
+// sendDatagram sends one datagram to each of the hosts but this one. It returns
+// the number of bytes sent.
+func (g *gossip) sendDatagram(kind byte, payload []byte, to []coordinator.Host) int {
 	b := append(make([]byte, 0, maxDatagram), g.tag[:]...)
 	b = append(b, kind, byte(len(g.settings.ID)))
 	b = append(b, g.settings.ID...)
 	b = append(b, payload...)
+	n := 0
 	for _, h := range to {
 		if h.ID == g.settings.ID {
 			continue
 		}
-		a, err := net.ResolveUDPAddr("udp4", h.Peer)
-		if err != nil {
-			g.log.Warn("cannot resolve the address of a host", zap.String("host", h.ID), zap.Error(err))
-			continue
-		}
+		n += len(b) + datagramHeader
 		g.metrics.countBytes(h.Zone != g.settings.Zone, "Evidence", len(b)+datagramHeader)
-		// Lost observations are replaced by later ones.
-		_, _ = g.conn.WriteToUDP(b, a)
+		g.transmit(b, h.Peer)
 	}
+	return n
+}
+
+func (g *gossip) transmitUDP(b []byte, addr string) {
+	a, err := net.ResolveUDPAddr("udp4", addr)
+	if err != nil {
+		g.log.Warn("cannot resolve the address of a host", zap.String("address", addr), zap.Error(err))
+		return
+	}
+	// Lost observations are replaced by later ones.
+	_, _ = g.conn.WriteToUDP(b, a)
 }
 
 func (g *gossip) receiveLoop() {
@@ -201,5 +273,9 @@
 		g.poison.receive(b[k:])
 		return
 	}
-	g.view.merge(g.clock.Now(), kind, string(b[:k]), balance.DecodeObservations(b[k:]))
+	host, l := string(b[:k]), balance.DecodeObservations(b[k:])
+	if kind == kindRelay {
+		g.relay.add(g.clock.Now(), l)
+	}
+	g.view.merge(g.clock.Now(), kind, host, l)
 }
