Send changes of the list of hosts instead of the whole list

Cause: each host that came or went made control processes send the list of all hosts to every host: 422 hosts of about 70 bytes each, up to five times a second, over links of 2 Mbit/s. The leader also made the list anew for each exchange. The digest left out narrow links and the zones of control processes.

The leader makes a list at most every 100 ms.

--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -75,8 +75,6 @@
 		return p
 	}
 	p.Update = r.updateSince(a.Sequence)
-	if f := r.fleet.list(now); f.Digest != a.Hosts {
-		p.Fleet = f
-	}
+	p.Fleet, p.FleetChange = r.fleet.history.update(r.fleet.list(now), a.Hosts, a.Changes)
 	return p
 }
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -25,6 +25,9 @@
 	// of this process's direct hosts that the leader holds, zero if none.
 	lastFleet   *Fleet
 	ackedDigest uint64
+	// history holds former lists. madeAt is when the leader last made a list.
+	history fleetHistory
+	madeAt  clock.Millis
 }
 
 // hostRow is a host with the time of its last exchange.
@@ -51,7 +54,7 @@
 // setLeading is called when the role changes. Reports of other control
 // processes are dropped, and this process reports its hosts again.
 func (t *fleetTable) setLeading(now clock.Millis, leading bool) {
-	t.leading, t.ledAt = leading, now
+	t.leading, t.ledAt, t.madeAt = leading, now, 0
 	t.cores = map[string]*coreRow{}
 	t.ackedDigest = 0
 }
@@ -91,9 +94,13 @@
 		write(x.Callers)
 		write(x.Peer)
 		write(x.Zone)
+		if x.Narrow {
+			write("narrow")
+		}
 	}
 	for _, x := range cores {
 		write(x.Addr)
+		write(x.Zone)
 	}
 	return h.Sum64() | 1
 }
@@ -116,12 +123,20 @@
 	return x.digest
 }
 
+// listInterval is the shortest time between two lists: making one takes time that
+// grows with the number of hosts, and each change is sent to all of them.
+const listInterval = 100 * clock.Millis(1)
+
 // list returns all hosts and control processes: at the leader from the reports,
 // elsewhere as the leader last sent them.
 func (t *fleetTable) list(now clock.Millis) *Fleet {
 	if !t.leading {
 		return t.lastFleet
 	}
+	if t.madeAt > 0 && now-t.madeAt < listInterval {
+		return t.lastFleet
+	}
+	t.madeAt = now
 	l, _ := t.directHosts(now)
 	seen := map[string]bool{}
 	for _, h := range l {
@@ -151,6 +166,23 @@
 	return t.lastFleet
 }
 
+// adopt takes over the list of the leader or a change of it. A change that does
+// not follow the last list makes the leader send the whole list.
+func (t *fleetTable) adopt(f *Fleet, c *FleetChange) {
+	if f == nil && c == nil {
+		return
+	}
+	if f == nil {
+		var ok bool
+		if f, ok = t.lastFleet.Apply(c); !ok {
+			t.lastFleet = &Fleet{Hosts: t.lastFleet.Hosts, Cores: t.lastFleet.Cores}
+			return
+		}
+	}
+	t.history.add(t.lastFleet)
+	t.lastFleet = f
+}
+
 // coreIn returns the address of a control process in a zone, preferably of this
 // one. It is empty if there is none.
 func (t *fleetTable) coreIn(zone string) string {
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -29,6 +29,8 @@
 	// digest of the Fleet that it holds. Both are zero if it has none.
 	Sequence uint64
 	Hosts    uint64
+	// Changes is true if the host accepts a FleetChange.
+	Changes bool
 	// Wants are the tokens to prefetch, by account.
 	Wants map[string]int
 	// Returns are borrowed tokens that the host did not spend, by account.
@@ -43,8 +45,10 @@
 	Known  bool
 	Age    clock.Millis
 	Update Update
-	// Fleet is nil if the host's list is current.
-	Fleet *Fleet
+	// Fleet and FleetChange are nil if the host's list is current, otherwise one of
+	// them is set.
+	Fleet       *Fleet
+	FleetChange *FleetChange
 	// Grants are the tokens lent, by account.
 	Grants map[string]int
 }
@@ -94,8 +98,10 @@
 	// Hosts is not set if the leader already has them.
 	Digest uint64
 	Hosts  []Host
-	// Fleet is the digest of the Fleet that the sender holds.
-	Fleet uint64
+	// Fleet is the digest of the Fleet that the sender holds. Changes is true if
+	// it accepts a FleetChange.
+	Fleet   uint64
+	Changes bool
 	// Wants are the tokens to prefetch, Returns the borrowed tokens that
 	// were not spent, by account.
 	Wants, Returns map[string]int
@@ -116,8 +122,10 @@
 	// Age is the age of the proof that nothing beyond Sequence was accepted.
 	Age      clock.Millis
 	Sequence uint64
-	// Fleet is nil if the sender's list is current.
-	Fleet *Fleet
+	// Fleet and FleetChange are nil if the sender's list is current, otherwise one
+	// of them is set.
+	Fleet       *Fleet
+	FleetChange *FleetChange
 	// Grants are the tokens lent, by account.
 	Grants map[string]int
 	// Member is true if the sender is a voter or learner at its address.
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -18,9 +18,7 @@
 		r.admit(now, a.ID, a.Addr)
 	}
 	p.Held = r.fleet.report(now, a)
-	if f := r.fleet.list(now); f.Digest != a.Fleet {
-		p.Fleet = f
-	}
+	p.Fleet, p.FleetChange = r.fleet.history.update(r.fleet.list(now), a.Fleet, a.Changes)
 	r.lender.returnTokens(now, a.Returns)
 	p.Grants = r.lender.prefetch(now, a.Wants)
 	if proof := r.node.LastProof(); proof.At > 0 {
@@ -34,7 +32,7 @@
 // Tokens are only returned to a known leader.
 func (r *Replica) prepareReport(now clock.Millis) preparedReport {
 	l, d := r.fleet.directHosts(now)
-	a := ReportArgs{ID: r.ID, Addr: r.Settings.Peer, Zone: r.Settings.Zone, Digest: d, Fleet: r.fleet.lastFleet.Digest}
+	a := ReportArgs{ID: r.ID, Addr: r.Settings.Peer, Zone: r.Settings.Zone, Digest: d, Fleet: r.fleet.lastFleet.Digest, Changes: true}
 	if d != r.fleet.ackedDigest {
 		a.Hosts = l
 	}
@@ -79,9 +77,7 @@
 	}
 	r.fleet.ackedDigest = p.Held
 	r.lender.leaderReplyAt = now
-	if p.Fleet != nil {
-		r.fleet.lastFleet = p.Fleet
-	}
+	r.fleet.adopt(p.Fleet, p.FleetChange)
 	for n, k := range p.Grants {
 		r.lender.addLoan(now, &loan{Account: n, Tokens: k})
 	}
--- a/edge/control_client.go
+++ b/edge/control_client.go
@@ -41,7 +41,7 @@
 	leaving func() bool
 
 	state    *catalog.State
-	digest   uint64
+	fleet    *coordinator.Fleet
 	triggers chan struct{}
 
 	mu       sync.Mutex
@@ -55,6 +55,7 @@
 
 func (l *controlClient) run() {
 	l.state = catalog.New(l.translate)
+	l.fleet = &coordinator.Fleet{}
 	l.triggers = make(chan struct{}, 1)
 	go l.loop()
 }
@@ -219,7 +220,7 @@
 			ID: l.settings.ID, Zone: l.settings.Zone, Callers: l.settings.Callers, Peer: l.settings.Peer,
 			Leaving: l.leaving(), Narrow: l.settings.Narrow,
 		},
-		Sequence: l.state.Sequence, Hosts: l.digest, Wants: wants, Returns: returns,
+		Sequence: l.state.Sequence, Hosts: l.fleet.Digest, Changes: true, Wants: wants, Returns: returns,
 	}
 	var p coordinator.ExchangeReply
 	if err := l.pool.Get(addr).Call("Peer.Exchange", a, &p, exchangeTimeout); err != nil {
@@ -231,14 +232,27 @@
 	if !p.Known || !l.apply(p.Update) {
 		return false
 	}
-	if p.Fleet != nil {
-		l.digest = p.Fleet.Digest
-		l.view.setFleet(p.Fleet)
-	}
+	l.adoptFleet(p.Fleet, p.FleetChange)
 	l.view.confirmCurrent(sent - p.Age)
 	return p.Age < staleProof
 }
 
+// adoptFleet takes over a list of the fleet or a change of it. A change that does
+// not follow the list makes the control process send the whole list.
+func (l *controlClient) adoptFleet(f *coordinator.Fleet, c *coordinator.FleetChange) {
+	if c != nil {
+		var ok bool
+		if f, ok = l.fleet.Apply(c); !ok {
+			l.fleet = &coordinator.Fleet{}
+			return
+		}
+	}
+	if f != nil {
+		l.fleet = f
+		l.view.setFleet(f)
+	}
+}
+
 // apply applies an update to the state. It reports whether the state has
 // reached the sequence of the update.
 func (l *controlClient) apply(u coordinator.Update) bool {
