--- a/configsync/syncer.go
+++ b/configsync/syncer.go
@@ -70,12 +70,21 @@
 	recentProofDivisor = 3
 )
 
-// Run starts to follow the configuration.
-func (s *Syncer) Run() {
+// Prepare makes the Syncer answer peers, with an empty configuration. It must be
+// called before a peer can reach this host.
+func (s *Syncer) Prepare() {
 	s.tracker = Tracker{Self: s.Host.ID, MaxProofAge: s.MaxProofAge}
 	s.tracker.Run()
 	s.state.Store(s.tracker.State())
 	s.stopped = make(chan struct{})
+}
+
+// Run starts to follow the configuration. It prepares the Syncer if Prepare was
+// not called.
+func (s *Syncer) Run() {
+	if s.stopped == nil {
+		s.Prepare()
+	}
 	go s.controlLoop()
 	go s.gossipLoop()
 }
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,11 +18,24 @@
 	"github.com/carawayrack/carawayrack/coordinator"
 )
 
+// lastPort is the last port that freeAddress has returned.
+var lastPort = 20_000
+
+// freeAddress returns an address that no other test process uses: its IP address
+// follows from the process ID, and its port is below those that the kernel gives
+// to clients.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
+	for {
+		lastPort++
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(lastPort)))
+		if err != nil {
+			continue
+		}
+		Expect(l.Close()).To(Succeed())
+		return l.Addr().String()
+	}
 }
 
 // stopper stops a host and then closes done.
--- a/host/host.go
+++ b/host/host.go
@@ -141,6 +141,7 @@
 		Control: s.Control, Seeds: s.Seeds, MaxProofAge: s.Freshness, Interval: s.Interval, Pool: h.pool,
 		Log: h.Log, Journal: h.journal.Add, OwnFlags: h.flags, OnAdvance: h.frontend.CancelWithdrawn,
 	}
+	h.configSync.Prepare()
 }
 
 func (h *Host) config() *config.State { return h.configSync.Config() }
