Do not deny routes and keys from an old configuration

Cause: a host whose links are full answered 404 from a configuration whose last proof was over three seconds old; the deployment allows 2.5 s.

Measured: the new spec got 404 before and gets 503 now.

--- a/edge/call.go
+++ b/edge/call.go
@@ -84,17 +84,20 @@
 func (c *call) admit() *refusal {
 	f, age := c.host.view.current(c.start)
 	if f == nil || age >= c.host.Settings.MaxConfigAge {
-		if f = c.host.waitForCurrentConfig(); f == nil {
+		if f = c.host.waitForCurrentConfig(c.host.Settings.MaxConfigAge); f == nil {
 			return &refusal{ConfigNotCurrent, http.StatusServiceUnavailable, clock.Second, "no current configuration"}
 		}
 	}
-	if c.route = f.Match(hostName(c.r), c.r.URL.Path); c.route == nil {
-		return &refusal{NoRoute, http.StatusNotFound, 0, "version " + strconv.FormatUint(f.Version, 10)}
+	x := c.findRoute(f)
+	if x != nil && age >= c.host.Settings.MaxRefusalAge {
+		// A newer configuration may allow the request.
+		if f = c.host.waitForCurrentConfig(c.host.Settings.MaxRefusalAge); f == nil {
+			return &refusal{ConfigNotCurrent, http.StatusServiceUnavailable, clock.Second, x.Error()}
+		}
+		x = c.findRoute(f)
 	}
-	key := c.r.Header.Get(c.host.Headers.Key)
-	c.account = f.AccountByKey(key)
-	if c.account == nil && !c.route.Open && len(f.Accounts) > 0 {
-		return &refusal{UnknownKey, http.StatusUnauthorized, 0, "version " + strconv.FormatUint(f.Version, 10)}
+	if x != nil {
+		return x
 	}
 	c.setDeadline()
 	if x := c.readBody(f.Limits.BodyBytes); x != nil {
@@ -106,6 +109,20 @@
 	return c.takeToken()
 }
 
+// findRoute sets the route and the account. It returns a refusal if the
+// configuration has no route for the request or does not have its key.
+func (c *call) findRoute(f *catalog.Config) *refusal {
+	version := "version " + strconv.FormatUint(f.Version, 10)
+	if c.route = f.Match(hostName(c.r), c.r.URL.Path); c.route == nil {
+		return &refusal{NoRoute, http.StatusNotFound, 0, version}
+	}
+	c.account = f.AccountByKey(c.r.Header.Get(c.host.Headers.Key))
+	if c.account == nil && !c.route.Open && len(f.Accounts) > 0 {
+		return &refusal{UnknownKey, http.StatusUnauthorized, 0, version}
+	}
+	return nil
+}
+
 // hostName returns the host of a request without the port.
 func hostName(r *http.Request) string {
 	name, _, err := net.SplitHostPort(r.Host)
--- a/edge/host.go
+++ b/edge/host.go
@@ -186,11 +186,11 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// waitForCurrentConfig requests a proof that the configuration is current and
-// waits for it up to configWait. It returns the configuration, or nil if no
-// proof arrives. It does not wait if the last proof or, without any, the start
-// is too long ago; see configWaitWindow.
-func (h *Host) waitForCurrentConfig() *catalog.Config {
+// waitForCurrentConfig requests a proof of at most the given age that the
+// configuration is current and waits for it up to configWait. It returns the
+// configuration, or nil if no proof arrives. It does not wait if the last proof
+// or, without any, the start is too long ago; see configWaitWindow.
+func (h *Host) waitForCurrentConfig(maxAge clock.Millis) *catalog.Config {
 	h.control.trigger()
 	now := h.Clock.Now()
 	f, age := h.view.current(now)
@@ -202,7 +202,7 @@
 		return nil
 	}
 	for end := now + configWait; h.Clock.Now() < end; time.Sleep(configPollInterval.Duration()) {
-		if c, age := h.view.current(h.Clock.Now()); c != nil && age < h.Settings.MaxConfigAge {
+		if c, age := h.view.current(h.Clock.Now()); c != nil && age < maxAge {
 			return c
 		}
 	}
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -69,6 +69,20 @@
 		Expect(t.requests()).To(Equal(0))
 	})
 
+	// Links are full, so that a host gets no newer configuration for seconds: one
+	// that it does not have may have added the route or the key.
+	It("is not told that its route or key does not exist by a host that cannot know", func() {
+		w := newTestHost(newStandin("t1", ok))
+		w.host.view.mu.Lock()
+		w.host.view.currentAt = w.host.Clock.Now() - 1500
+		w.host.view.mu.Unlock()
+		Expect(w.get("/other/").status).To(Equal(503))
+		Expect(w.get("/safe/", "Key", "k2").status).To(Equal(503))
+		Expect(w.get("/safe/").status).To(Equal(200))
+		w.host.view.confirmCurrent(w.host.Clock.Now())
+		Expect(w.get("/other/").status).To(Equal(404))
+	})
+
 	It("is refused if its body is larger than allowed, with and without a length", func() {
 		t := newStandin("t1", ok)
 		w := newTestHost(t)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -23,6 +23,10 @@
 	// MaxConfigAge is the age of the newest proof that the configuration is
 	// current at which the host begins to refuse requests.
 	MaxConfigAge clock.Millis
+	// MaxRefusalAge is the age of that proof at which the host no longer tells
+	// callers that a route or a key does not exist: a newer configuration may have
+	// added it.
+	MaxRefusalAge clock.Millis
 	// Retry is the retry budget of the fleet.
 	Retry RetryBudget
 	// Grace is the time from the signal to stop to the end of the process.
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -168,7 +168,7 @@
 func newTestHost(targets ...*standin) *testHost {
 	w := &testHost{tokensLeft: 1 << 30}
 	h := &Host{
-		Settings: Settings{ID: "h", Zone: "z", MaxConfigAge: 4000, Retry: RetryBudget{Ratio: 0.2, Slack: 60}, Grace: 600},
+		Settings: Settings{ID: "h", Zone: "z", MaxConfigAge: 4000, MaxRefusalAge: 1400, Retry: RetryBudget{Ratio: 0.2, Slack: 60}, Grace: 600},
 		Headers:  testHeaders, Clock: clock.Boot(), Log: zap.NewNop(),
 	}
 	h.metrics = newMetrics()
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -75,7 +75,7 @@
 		h := &Host{
 			Settings: Settings{
 				ID: "h", Zone: "z", Callers: freeAddress(), Ready: freeAddress(), Peer: freeAddress(), Secret: "s",
-				Cores: func() []string { return nil }, MaxConfigAge: 60_000, Grace: 3000,
+				Cores: func() []string { return nil }, MaxConfigAge: 60_000, MaxRefusalAge: 60_000, Grace: 3000,
 			},
 			Headers: testHeaders, Clock: clock.Boot(), Log: zap.NewNop(), ReadyPath: "/ready",
 			Translate: func([]byte) (*catalog.Config, error) { return &catalog.Config{}, nil },
