Send hosts the last configuration only, as a delta

Cause: each change of the configuration took its whole document to each host: 12 kB packed with 190 accounts, and several of them if versions came quickly. Exchanges ran into their timeout and were repeated, requests for tokens behind them too.

Change: of several documents an update has only the last, as a delta from the one that the host holds if a former document is among the last 16. A delta has a checksum; one that does not fit makes the host ask for the whole state. An entry of the log that cannot be read no longer shifts the changes after it.

--- a/catalog/change.go
+++ b/catalog/change.go
@@ -17,6 +17,10 @@
 	// Version is the version of Document. A version that is not above the one
 	// in force has no effect.
 	Version uint64 `json:"version,omitempty"`
+	// Delta replaces Document in changes that are sent to hosts: it makes the
+	// document from that of version Base, and is packed by Compress.
+	Delta []byte `json:"delta,omitempty"`
+	Base  uint64 `json:"base,omitempty"`
 	// Evacuate names a zone that gets no new work from now on, Restore one that
 	// gets work again.
 	Evacuate string `json:"evacuate,omitempty"`
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -44,9 +44,17 @@
 	return &State{Targets: map[string]Target{}, EvacuatedZones: map[string]bool{}, Translate: translate}
 }
 
-// Apply applies a change; the error is always nil. Call UpdateConfig before
-// Config is used: of many documents in a row only the last needs to be parsed.
+// Apply applies a change. Call UpdateConfig before Config is used: of many
+// documents in a row only the last needs to be parsed. The error is that of a
+// Delta that does not fit the state, which is then as it was.
 func (s *State) Apply(c Change) error {
+	if c.Delta != nil && c.Version > s.Version {
+		b, err := s.expand(c)
+		if err != nil {
+			return err
+		}
+		c.Document = b
+	}
 	s.Sequence++
 	if c.Document != nil && c.Version > s.Version {
 		s.Version, s.Document, s.configStale = c.Version, c.Document, true
@@ -63,6 +71,26 @@
 	return nil
 }
 
+// expand returns the packed document of a change that has a Delta.
+func (s *State) expand(c Change) ([]byte, error) {
+	if c.Base != s.Version {
+		return nil, errors.WithStack(DeltaMismatch{})
+	}
+	old, err := Decompress(s.Document)
+	if err != nil {
+		return nil, err
+	}
+	d, err := Decompress(c.Delta)
+	if err != nil {
+		return nil, err
+	}
+	b, err := ApplyDelta(old, d)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return Compress(b)
+}
+
 // UpdateConfig parses Document into Config if Document has changed since the
 // last call. It reports whether Document had changed, also when it returns an
 // error; Config then keeps its old value.
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -16,15 +16,25 @@
 
 // updateSince returns the update from the state at sequence to the current one:
 // the changes if recentChanges still holds all of them, otherwise the whole
-// state.
-func (r *Replica) updateSince(sequence uint64) Update {
+// state. Of several documents it has only the last, as a delta if the receiver
+// accepts that.
+func (r *Replica) updateSince(sequence uint64, deltas bool) Update {
 	u := Update{Sequence: r.state.Sequence}
 	if sequence == r.state.Sequence {
 		return u
 	}
 	if k := len(r.recentChanges); k > 0 && sequence > 0 && sequence < r.state.Sequence && r.recentChanges[0].Sequence <= sequence+1 {
-		for _, x := range r.recentChanges[sequence+1-r.recentChanges[0].Sequence:] {
-			u.Changes = append(u.Changes, x.Data)
+		l := r.recentChanges[sequence+1-r.recentChanges[0].Sequence:]
+		last := lastDocument(l)
+		for i, x := range l {
+			switch {
+			case i == last && deltas:
+				u.Changes = append(u.Changes, r.documents.change(x, sequence))
+			case i == last:
+				u.Changes = append(u.Changes, x.Data)
+			default:
+				u.Changes = append(u.Changes, x.Rest)
+			}
 		}
 		return u
 	}
@@ -74,7 +84,7 @@
 		p.Known = false
 		return p
 	}
-	p.Update = r.updateSince(a.Sequence)
-	p.Fleet, p.FleetChange = r.fleet.history.update(r.fleet.list(now), a.Hosts, a.Changes)
+	p.Update = r.updateSince(a.Sequence, a.Deltas)
+	p.Fleet, p.FleetChange = r.fleet.history.update(r.fleet.list(now), a.Hosts, a.Deltas)
 	return p
 }
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -29,8 +29,8 @@
 	// digest of the Fleet that it holds. Both are zero if it has none.
 	Sequence uint64
 	Hosts    uint64
-	// Changes is true if the host accepts a FleetChange.
-	Changes bool
+	// Deltas is true if the host accepts a FleetChange and changes with a Delta.
+	Deltas bool
 	// Wants are the tokens to prefetch, by account.
 	Wants map[string]int
 	// Returns are borrowed tokens that the host did not spend, by account.
@@ -98,10 +98,10 @@
 	// Hosts is not set if the leader already has them.
 	Digest uint64
 	Hosts  []Host
-	// Fleet is the digest of the Fleet that the sender holds. Changes is true if
-	// it accepts a FleetChange.
-	Fleet   uint64
-	Changes bool
+	// Fleet is the digest of the Fleet that the sender holds. Deltas is true if it
+	// accepts a FleetChange.
+	Fleet  uint64
+	Deltas bool
 	// Wants are the tokens to prefetch, Returns the borrowed tokens that
 	// were not spent, by account.
 	Wants, Returns map[string]int
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -34,6 +34,8 @@
 	node          *replica.Node
 	state         *catalog.State
 	recentChanges []appliedChange
+	// documents are the last configuration documents in force.
+	documents documentHistory
 	// proposals are by the index of their log entry.
 	proposals     map[uint64]*pendingProposal
 	pendingProofs []pendingProof
@@ -55,9 +57,12 @@
 }
 
 // appliedChange is an encoded change with the sequence of the state after it.
+// Rest is the same without a document; Version is that of the document if it came
+// into force, else zero.
 type appliedChange struct {
-	Sequence uint64
-	Data     []byte
+	Sequence   uint64
+	Data, Rest []byte
+	Version    uint64
 }
 
 // pendingProposal waits for an entry of the log to be committed. Term is the
@@ -213,6 +218,7 @@
 	if e.Data == nil {
 		return
 	}
+	before := r.state.Version
 	c, err := catalog.DecodeChange(e.Data)
 	if err == nil {
 		err = r.state.Apply(c)
@@ -221,8 +227,17 @@
 		// Changes are checked before they are proposed. All replicas skip the same
 		// entry, so their states stay equal.
 		r.Log.Error("applying a log entry failed", zap.Error(err), zap.Uint64("index", e.Index))
+		return
+	}
+	x := appliedChange{Sequence: r.state.Sequence, Data: e.Data, Rest: e.Data}
+	if c.Document != nil {
+		x.Rest = withoutDocument(c)
 	}
-	r.recentChanges = append(r.recentChanges, appliedChange{r.state.Sequence, e.Data})
+	if r.state.Version != before {
+		x.Version = r.state.Version
+		r.documents.add(document{r.state.Sequence, r.state.Version, r.state.Document})
+	}
+	r.recentChanges = append(r.recentChanges, x)
 	if len(r.recentChanges) > maxRecentChanges {
 		r.recentChanges = r.recentChanges[len(r.recentChanges)-maxRecentChanges:]
 	}
@@ -246,6 +261,10 @@
 	}
 	r.state = s
 	r.recentChanges = nil
+	r.documents = documentHistory{}
+	if s.Document != nil {
+		r.documents.add(document{s.Sequence, s.Version, s.Document})
+	}
 	r.lender.setLimits(r.Clock.Now(), s.Config)
 }
 
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -18,7 +18,7 @@
 		r.admit(now, a.ID, a.Addr)
 	}
 	p.Held = r.fleet.report(now, a)
-	p.Fleet, p.FleetChange = r.fleet.history.update(r.fleet.list(now), a.Fleet, a.Changes)
+	p.Fleet, p.FleetChange = r.fleet.history.update(r.fleet.list(now), a.Fleet, a.Deltas)
 	r.lender.returnTokens(now, a.Returns)
 	p.Grants = r.lender.prefetch(now, a.Wants)
 	if proof := r.node.LastProof(); proof.At > 0 {
@@ -32,7 +32,7 @@
 // Tokens are only returned to a known leader.
 func (r *Replica) prepareReport(now clock.Millis) preparedReport {
 	l, d := r.fleet.directHosts(now)
-	a := ReportArgs{ID: r.ID, Addr: r.Settings.Peer, Zone: r.Settings.Zone, Digest: d, Fleet: r.fleet.lastFleet.Digest, Changes: true}
+	a := ReportArgs{ID: r.ID, Addr: r.Settings.Peer, Zone: r.Settings.Zone, Digest: d, Fleet: r.fleet.lastFleet.Digest, Deltas: true}
 	if d != r.fleet.ackedDigest {
 		a.Hosts = l
 	}
--- a/edge/control_client.go
+++ b/edge/control_client.go
@@ -220,7 +220,7 @@
 			ID: l.settings.ID, Zone: l.settings.Zone, Callers: l.settings.Callers, Peer: l.settings.Peer,
 			Leaving: l.leaving(), Narrow: l.settings.Narrow,
 		},
-		Sequence: l.state.Sequence, Hosts: l.fleet.Digest, Changes: true, Wants: wants, Returns: returns,
+		Sequence: l.state.Sequence, Hosts: l.fleet.Digest, Deltas: true, Wants: wants, Returns: returns,
 	}
 	var p coordinator.ExchangeReply
 	if err := l.pool.Get(addr).Call("Peer.Exchange", a, &p, exchangeTimeout); err != nil {
@@ -274,6 +274,9 @@
 		}
 		if err != nil {
 			l.log.Error("cannot apply a received change", zap.Error(err), zap.Uint64("sequence", u.Sequence))
+			// The next exchange brings the whole state.
+			l.state.Sequence = 0
+			return false
 		}
 	}
 	if _, err := l.state.UpdateConfig(); err != nil {
