Lend tokens between the hosts of a large zone without a lender

Cause: while no control process answers, each host has its part of 0.7 of an account's rate.

Change: for each account one host of a large zone, its keeper, has the zone's part of 0.55 of the rate and lends it to the others by datagram; it borrows from control as long as it can.

--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -27,6 +27,9 @@
 	// kindRelay datagrams hold changes that the receiver passes on to the hosts of
 	// its zone.
 	kindRelay
+	// kindBorrow datagrams request a token from a keeper, kindLent ones respond.
+	kindBorrow
+	kindLent
 )
 
 const (
@@ -58,6 +61,8 @@
 	view     *fleetView
 	metrics  *metrics
 	poison   *poisonDetector
+	// peerTokens handles requests of other hosts for tokens.
+	peerTokens *peerTokens
 
 	conn *net.UDPConn
 	// tag is the start of the SHA-256 sum of the secret; datagrams without it
@@ -237,6 +242,11 @@
 	return n
 }
 
+// sendTo sends one datagram to one host.
+func (g *gossip) sendTo(kind byte, payload []byte, to coordinator.Host) {
+	g.sendDatagram(kind, payload, []coordinator.Host{to})
+}
+
 func (g *gossip) transmitUDP(b []byte, addr string) {
 	a, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
@@ -269,9 +279,16 @@
 	if len(b) < k {
 		return
 	}
-	if kind == kindCrash {
+	switch kind {
+	case kindCrash:
 		g.poison.receive(b[k:])
 		return
+	case kindBorrow:
+		g.peerTokens.receiveRequest(string(b[:k]), b[k:])
+		return
+	case kindLent:
+		g.peerTokens.receiveLoan(b[k:])
+		return
 	}
 	host, l := string(b[:k]), balance.DecodeObservations(b[k:])
 	if kind == kindRelay {
--- a/edge/host.go
+++ b/edge/host.go
@@ -88,6 +88,9 @@
 	h.poison = &poisonDetector{clock: h.Clock, log: h.Log, broadcast: h.gossip.broadcastSuspicion}
 	h.poison.run()
 	h.gossip.poison = h.poison
+	h.gossip.peerTokens = &peerTokens{view: h.view, take: h.tokens.takeForPeer, send: h.gossip.sendTo}
+	h.gossip.peerTokens.run()
+	h.tokens.self, h.tokens.keeper, h.tokens.request = h.Settings.ID, h.view.keeper, h.gossip.peerTokens.request
 	if err := h.gossip.run(); err != nil {
 		return errors.Wrap(err, "edge.Run")
 	}
--- a/edge/tokens.go
+++ b/edge/tokens.go
@@ -13,16 +13,24 @@
 	// cacheShare is the share of a second's rate that all hosts together may
 	// prefetch.
 	cacheShare = 0.3
-	// fallbackShare is the share that a host uses of its part of a rate while it
+	// fallbackShare is the share that hosts use of their part of a rate while they
 	// cannot borrow.
 	fallbackShare = 0.7
+	// keeperShare is the part of fallbackShare that the keepers of all zones
+	// together have; hosts whose keeper does not respond have the rest.
+	keeperShare = 0.55
+	// keeperBurst is the number of tokens that a keeper holds for requests that
+	// arrive together.
+	keeperBurst = 2
 	// fallbackBurst is the burst of the fallback bucket beyond one token, in
 	// seconds of the host's part of the rate.
 	fallbackBurst = 0.2
 	borrowTimeout = 350 * clock.Millis(1)
 	// fallbackResetAfter is the time without use after which the fallback bucket
-	// starts anew.
+	// starts anew, keeperResetAfter that at a keeper, which sees the requests of a
+	// whole zone.
 	fallbackResetAfter = 1 * clock.Second
+	keeperResetAfter   = 3 * clock.Second
 	// minRetryAfter is the shortest time for which requests do not try to borrow
 	// after a reply without tokens, and the shortest Retry-After while the
 	// fallback bucket is empty.
@@ -43,6 +51,13 @@
 	hosts func() int
 	// random returns a number in [0, 1).
 	random func() float64
+	// keeper returns the host of a large zone that has the zone's part of an
+	// account's rate, and the number of zones; see peerTokens. It may be nil.
+	keeper func(account string) (h coordinator.Host, zones int, ok bool)
+	// request requests a token from a keeper. It returns false without a response.
+	request func(account string, keeper coordinator.Host) (peerLoan, bool)
+	// self is the host's ID.
+	self string
 
 	mu       sync.Mutex
 	accounts map[string]*accountTokens
@@ -64,7 +79,7 @@
 func (t *tokens) account(now clock.Millis, a *catalog.Account) *accountTokens {
 	p := t.accounts[a.Name]
 	if p == nil {
-		p = &accountTokens{fallbackUsedAt: -fallbackResetAfter}
+		p = &accountTokens{fallbackUsedAt: -keeperResetAfter}
 		t.accounts[a.Name] = p
 	}
 	p.MaxPrefetch = int(a.Rate * cacheShare / float64(max(t.hosts(), 1)))
@@ -89,19 +104,20 @@
 		return false, w
 	}
 	if now < t.fallbackUntil || !t.reachable() {
-		defer t.mu.Unlock()
-		return t.takeFallback(now, a, p)
+		t.mu.Unlock()
+		return t.takeWithoutLender(a)
 	}
 	want := p.PrefetchNeeded(now)
 	t.mu.Unlock()
 	r, err := t.borrow(coordinator.BorrowArgs{Account: a.Name, Tokens: 1, Ahead: max(want-1, 0)})
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	now = t.clock.Now()
 	if err != nil || !r.Known {
 		t.fallbackUntil = now + fallbackFor
-		return t.takeFallback(now, a, p)
+		t.mu.Unlock()
+		return t.takeWithoutLender(a)
 	}
+	defer t.mu.Unlock()
 	p.Add(r.Tokens)
 	if p.SpendBorrowed(1) {
 		return true, 0
@@ -111,17 +127,64 @@
 	return false, w
 }
 
-// takeFallback takes a token of the host's own part of the rate while it
-// cannot borrow. The bucket starts with the tokens of fallbackBurst and a random
-// part of one more, so that many hosts together do not start with more than the
-// account may use.
-func (t *tokens) takeFallback(now clock.Millis, a *catalog.Account, p *accountTokens) (bool, clock.Millis) {
-	n := float64(max(t.hosts(), 1))
+// takeWithoutLender takes a token while no control process lends any: from the
+// keeper of the account in a large zone, otherwise of the host's own part of the
+// rate.
+func (t *tokens) takeWithoutLender(a *catalog.Account) (bool, clock.Millis) {
+	if t.keeper == nil {
+		return t.takeFallback(a, t.ownPart(fallbackShare))
+	}
+	h, zones, ok := t.keeper(a.Name)
+	switch {
+	case !ok:
+		return t.takeFallback(a, t.ownPart(fallbackShare))
+	case h.ID == t.self:
+		return t.takeFallback(a, fallbackPart{share: keeperShare / float64(zones), burst: keeperBurst, resetAfter: keeperResetAfter})
+	}
+	if l, ok := t.request(a.Name, h); ok {
+		return l.ok, l.wait
+	}
+	return t.takeFallback(a, t.ownPart(fallbackShare-keeperShare))
+}
+
+// takeForPeer takes a token for another host of the zone: one that a control
+// process lends, or else of the part of this host.
+func (t *tokens) takeForPeer(a *catalog.Account) (bool, clock.Millis) {
+	if h, _, ok := t.keeper(a.Name); !ok || h.ID != t.self {
+		// The other host has another list of hosts.
+		return false, minRetryAfter
+	}
+	return t.take(a)
+}
+
+// fallbackPart is the part of an account's limits that a host uses alone: share of
+// the rate, and burst tokens at once beyond those of fallbackBurst. The bucket
+// starts anew after resetAfter without use.
+type fallbackPart struct {
+	share, burst float64
+	resetAfter   clock.Millis
+}
+
+// ownPart returns the part of each host if all of them together use a share.
+func (t *tokens) ownPart(share float64) fallbackPart {
+	return fallbackPart{share: share / float64(max(t.hosts(), 1)), burst: 1, resetAfter: fallbackResetAfter}
+}
+
+// takeFallback takes a token of a part of an account's rate that belongs to this
+// host alone. The bucket starts with the tokens of fallbackBurst and a random part
+// of one more, so that many hosts together do not start with more than the account
+// may use.
+func (t *tokens) takeFallback(a *catalog.Account, f fallbackPart) (bool, clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	p := t.account(now, a)
+	ahead := a.Rate * fallbackBurst * f.share / fallbackShare
 	// Rate and Burst are set without a refill: Take adds the tokens of the time
 	// since the last use.
-	p.fallback.Rate, p.fallback.Burst = a.Rate*fallbackShare/n, 1+a.Rate*fallbackBurst/n
-	if now-p.fallbackUsedAt > fallbackResetAfter {
-		p.fallback.Run(now, (t.random()+a.Rate*fallbackBurst/n)/p.fallback.Burst)
+	p.fallback.Rate, p.fallback.Burst = a.Rate*f.share, f.burst+ahead
+	if now-p.fallbackUsedAt > f.resetAfter {
+		p.fallback.Run(now, (t.random()+ahead)/p.fallback.Burst)
 	}
 	p.fallbackUsedAt = now
 	if p.fallback.Take(now, 1) == 1 {
