Start no attempt for a caller that has left, and blame the right attempt

Cause: a request that left the queue because its caller had gone still picked a target. The timer of the first attempt marked whichever attempt was running, so that the target of a retry counted as slow.

Change: a request whose caller has left leaves the queue; the timer counts only for the first attempt.

--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -217,6 +217,36 @@
 	})
 })
 
+var _ = Describe("a request whose caller has left", func() {
+	It("gets no target and leaves the queue", func() {
+		w := newTestHost(newStandin("t1", ok))
+		x, stop := context.WithCancel(context.Background())
+		stop()
+		p := &pendingPick{service: "s", deadline: w.host.Clock.Now() + 1000}
+		_, picked := w.host.waitForTarget(x, p)
+		Expect(picked).To(BeFalse())
+		_, picked = w.host.waitForTarget(context.Background(), &pendingPick{service: "s", deadline: w.host.Clock.Now() + 1000})
+		Expect(picked).To(BeTrue())
+	})
+})
+
+var _ = Describe("a retry", func() {
+	It("is not overdue because its first attempt took long", func() {
+		// The first attempt breaks shortly before it would be overdue, and the retry
+		// is still at work then.
+		t1, t2 := newStandin("t1", ok), newStandin("t2", "garbage\r\n\r\n")
+		w := newTestHost(t1)
+		w.host.view.pool("s").Done(w.host.Clock.Now(), "t1", balance.Result{Outcome: balance.Served, Took: 25})
+		w.set(t1, t2)
+		t1.delay, t2.delay = 150*time.Millisecond, 150*time.Millisecond
+		Expect(w.get("/safe/").status).To(Equal(200))
+		Expect(t2.requests()).To(Equal(1))
+		e, found := w.host.view.observationOf(w.host.Clock.Now(), "s", "t1")
+		Expect(found).To(BeTrue())
+		Expect(e.FailAge).To(Equal(uint16(0xffff)))
+	})
+})
+
 // endless is a body without end.
 type endless struct{}
 
--- a/edge/pending_pick.go
+++ b/edge/pending_pick.go
@@ -27,10 +27,15 @@
 const standingQueueWait = 60 * clock.Millis(1)
 
 // waitForTarget picks a target. If all are full, the request waits in the queue
-// until its deadline. It returns false if there is still no target then.
+// until its deadline. It returns false if there is still no target then, or if the
+// caller has left.
 func (h *Host) waitForTarget(c context.Context, p *pendingPick) (balance.Choice, bool) {
 	queued := false
 	for {
+		if c.Err() != nil {
+			h.view.leaveQueue(p, queued)
+			return balance.Choice{}, false
+		}
 		now := h.Clock.Now()
 		x, ok, over := h.view.tryPick(now, p, queued)
 		if ok || over {
@@ -42,12 +47,23 @@
 		case <-p.waiter.Ready:
 		case <-t.C:
 		case <-c.Done():
-			p.deadline = 0
 		}
 		t.Stop()
 	}
 }
 
+// leaveQueue removes a request whose caller has left from the queue.
+func (v *fleetView) leaveQueue(p *pendingPick, queued bool) {
+	if !queued {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	q := v.queue(p.service)
+	q.Remove(&p.waiter)
+	q.Wake()
+}
+
 // tryPick tries to pick a target once, if the request is the next one in the
 // queue or must not wait any longer; it reports the latter as over. A request
 // that gets no target and may wait is queued.
--- a/edge/send.go
+++ b/edge/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/carawayrack/carawayrack/balance"
@@ -31,6 +32,7 @@
 		return nil, x
 	}
 	running = append(running, a)
+	first := a
 	go a.run(done)
 	hedgeTimer := time.NewTimer(c.hedgeDelay().Duration())
 	defer hedgeTimer.Stop()
@@ -46,7 +48,10 @@
 			}
 			continue
 		case <-overdueTimer.C:
-			c.host.overdue(c.service, running[0])
+			// The timer belongs to the first attempt, which a retry may have replaced.
+			if slices.Contains(running, first) {
+				c.host.overdue(c.service, first)
+			}
 			continue
 		case a = <-done:
 		}
