Give whole retries to some hosts if there are more hosts than retries

Cause: each host had an equal part of the slack of the retry budget; a part below one never allowed a retry, nor did what requests add to it.

Change: if parts are below one, the first hosts of the list have one retry each, as many as there are.

--- a/edge/fleet_view.go
+++ b/edge/fleet_view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
@@ -115,12 +116,25 @@
 	return l
 }
 
-// retryDepth returns this host's share of the slack of the fleet's retry
-// budget.
+// retryDepth returns this host's share of the slack of the fleet's retry budget.
+// If there are more hosts than retries, some hosts have one and the others none:
+// a part of a retry could never be used.
 func (v *fleetView) retryDepth() float64 {
-	return retryBudgetShare * v.retry.Slack / float64(max(len(v.active()), 1))
+	l := v.active()
+	slack := retryBudgetShare * v.retry.Slack
+	share := slack / float64(max(len(l), 1))
+	if share >= 1 {
+		return share
+	}
+	rank := slices.IndexFunc(l, v.isSelf)
+	if rank >= 0 && float64(rank+1) <= slack {
+		return 1
+	}
+	return 0
 }
 
+func (v *fleetView) isSelf(h coordinator.Host) bool { return h.ID == v.self }
+
 // retryBudgetShare is the share of the fleet's retry budget that hosts use.
 // The rest is a reserve, so that the fleet stays within the budget while the
 // number of active hosts changes.
