Do not add up tokens while a lender is lost again and again

Cause: a host that used its own part of a rate again after a second without use started with new tokens: with twelve hosts some 15 at a rate of 46, each time the lender was away for a moment.

Change: new tokens only after six seconds without use, longer than quotas are measured; until then the bucket gets none for the time before the lender's last reply.

--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -374,6 +374,33 @@
 		Expect(float64(n)).To(BeNumerically(">=", a.Rate/10*10*fallbackShare*0.9))
 	})
 
+	// The leader freezes, another one is elected and freezes too: hosts lose their
+	// lender again and again, for less than a second each time.
+	It("do not add up while the lender is lost again and again", func() {
+		const hosts, rate, window = 12, 46, 5
+		a := &catalog.Account{Name: "acc", Rate: rate, Burst: rate}
+		r := rand.New(rand.NewSource(1))
+		n := 0
+		for range hosts {
+			now, away := clock.Millis(100_000), false
+			t := &tokens{hosts: func() int { return hosts }, reachable: func() bool { return !away }, random: r.Float64}
+			t.clock.Read = func() clock.Millis { return now }
+			t.borrow = func(coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
+				return coordinator.BorrowReply{Known: true, Wait: 1}, nil
+			}
+			t.run()
+			for end := now + window*clock.Second; now < end; now += 20 {
+				// Away for 200 ms in each 1,250 ms.
+				away = (end-now)%1250 < 200
+				if ok, _ := t.take(a); ok {
+					n++
+				}
+			}
+		}
+		awayS := float64(window) * 200 / 1250
+		Expect(float64(n)).To(BeNumerically("<=", rate*awayS*fallbackShare+hosts+rate*fallbackBurst))
+	})
+
 	// In a large deployment without a control plane, one account sends many times
 	// its rate to all hosts: their fallback buckets together must not exceed the
 	// quota.
--- a/edge/tokens.go
+++ b/edge/tokens.go
@@ -26,11 +26,10 @@
 	// seconds of the host's part of the rate.
 	fallbackBurst = 0.2
 	borrowTimeout = 350 * clock.Millis(1)
-	// fallbackResetAfter is the time without use after which the fallback bucket
-	// starts anew, keeperResetAfter that at a keeper, which sees the requests of a
-	// whole zone.
-	fallbackResetAfter = 1 * clock.Second
-	keeperResetAfter   = 3 * clock.Second
+	// fallbackStartAfter is the time without use after which the fallback bucket
+	// starts with new tokens: longer than the time over which quotas are measured,
+	// so that a lender that is lost again and again does not add up.
+	fallbackStartAfter = 6 * clock.Second
 	// minRetryAfter is the shortest time for which requests do not try to borrow
 	// after a reply without tokens, and the shortest Retry-After while the
 	// fallback bucket is empty.
@@ -61,6 +60,8 @@
 
 	mu       sync.Mutex
 	accounts map[string]*accountTokens
+	// lenderAt is when a control process last replied.
+	lenderAt clock.Millis
 	// fallbackUntil is the end of the time in which the host does not try to
 	// borrow.
 	fallbackUntil clock.Millis
@@ -79,7 +80,7 @@
 func (t *tokens) account(now clock.Millis, a *catalog.Account) *accountTokens {
 	p := t.accounts[a.Name]
 	if p == nil {
-		p = &accountTokens{fallbackUsedAt: -keeperResetAfter}
+		p = &accountTokens{fallbackUsedAt: now - fallbackStartAfter - 1}
 		t.accounts[a.Name] = p
 	}
 	p.MaxPrefetch = int(a.Rate * cacheShare / float64(max(t.hosts(), 1)))
@@ -118,6 +119,7 @@
 		return t.takeWithoutLender(a)
 	}
 	defer t.mu.Unlock()
+	t.lenderAt = now
 	p.Add(r.Tokens)
 	if p.SpendBorrowed(1) {
 		return true, 0
@@ -139,7 +141,7 @@
 	case !ok:
 		return t.takeFallback(a, t.ownPart(fallbackShare))
 	case h.ID == t.self:
-		return t.takeFallback(a, fallbackPart{share: keeperShare / float64(zones), burst: keeperBurst, resetAfter: keeperResetAfter})
+		return t.takeFallback(a, fallbackPart{share: keeperShare / float64(zones), burst: keeperBurst})
 	}
 	if l, ok := t.request(a.Name, h); ok {
 		return l.ok, l.wait
@@ -167,7 +169,7 @@
 
 // ownPart returns the part of each host if all of them together use a share.
 func (t *tokens) ownPart(share float64) fallbackPart {
-	return fallbackPart{share: share / float64(max(t.hosts(), 1)), burst: 1, resetAfter: fallbackResetAfter}
+	return fallbackPart{share: share / float64(max(t.hosts(), 1)), burst: 1}
 }
 
 // takeFallback takes a token of a part of an account's rate that belongs to this
@@ -183,9 +185,11 @@
 	// Rate and Burst are set without a refill: Take adds the tokens of the time
 	// since the last use.
 	p.fallback.Rate, p.fallback.Burst = a.Rate*f.share, f.burst+ahead
-	if now-p.fallbackUsedAt > f.resetAfter {
+	if now-p.fallbackUsedAt > fallbackStartAfter {
 		p.fallback.Run(now, (t.random()+ahead)/p.fallback.Burst)
 	}
+	// Until then the lender's tokens took the place of those of the bucket.
+	p.fallback.Resume(t.lenderAt)
 	p.fallbackUsedAt = now
 	if p.fallback.Take(now, 1) == 1 {
 		return true, 0
@@ -202,10 +206,11 @@
 	return wants, returns
 }
 
-// add puts borrowed tokens into the caches.
+// add puts the tokens of a control process's reply into the caches.
 func (t *tokens) add(g map[string]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.lenderAt = t.clock.Now()
 	for n, k := range g {
 		if p := t.accounts[n]; p != nil {
 			p.Add(k)
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -23,6 +23,9 @@
 	b.level = b.Burst * fraction
 }
 
+// Resume makes the bucket get no tokens for the time before at.
+func (b *Bucket) Resume(at clock.Millis) { b.at = max(b.at, at) }
+
 // SetLimit changes rate and burst. Tokens beyond the new burst are lost.
 func (b *Bucket) SetLimit(now clock.Millis, rate, burst float64) {
 	b.refill(now)
