Lend nothing as a leader that woke from a suspension

Cause: a suspended leader steps down at its next tick, but handled requests for tokens before it: its buckets had filled up meanwhile, and another leader lent as well.

Change: a leader checks that a majority has confirmed it in time before it lends.

--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -88,6 +88,10 @@
 // Receive handles one message of the actor's mailbox.
 func (r *Replica) Receive(c actor.Context) {
 	now := r.Clock.Now()
+	switch c.Message().(type) {
+	case *exchange, *report:
+		r.checkLeadership(now)
+	}
 	switch m := c.Message().(type) {
 	case *actor.Started:
 		r.start(now)
@@ -104,7 +108,7 @@
 	case *exchange:
 		r.serveExchange(now, c.Sender(), m.Args)
 	case *borrow:
-		c.Respond(r.lender.borrow(now, m.Args))
+		c.Respond(r.handleBorrow(now, m.Args))
 	case *loan:
 		r.lender.addLoan(now, m)
 	case *report:
@@ -119,6 +123,23 @@
 	r.afterMessage(now)
 }
 
+// handleBorrow handles a request for tokens.
+func (r *Replica) handleBorrow(now clock.Millis, a BorrowArgs) BorrowReply {
+	r.checkLeadership(now)
+	return r.lender.borrow(now, a)
+}
+
+// checkLeadership makes a leader that no majority has confirmed in time step down
+// before it lends tokens: after a suspension requests may be handled before the
+// next tick, while another leader lends as well.
+func (r *Replica) checkLeadership(now clock.Millis) {
+	if r.node.Role() != replica.Leader {
+		return
+	}
+	r.node.Tick(now)
+	r.afterMessage(now)
+}
+
 func (r *Replica) receiveRequest(c actor.Context, now clock.Millis) {
 	switch m := c.Message().(type) {
 	case *announcement:
