--- a/edge/tokens.go
+++ b/edge/tokens.go
@@ -160,12 +160,8 @@
 }
 
 // fallbackPart is the part of an account's limits that a host uses alone: share of
-// the rate, and burst tokens at once beyond those of fallbackBurst. The bucket
-// starts anew after resetAfter without use.
-type fallbackPart struct {
-	share, burst float64
-	resetAfter   clock.Millis
-}
+// the rate, and burst tokens at once beyond those of fallbackBurst.
+type fallbackPart struct{ share, burst float64 }
 
 // ownPart returns the part of each host if all of them together use a share.
 func (t *tokens) ownPart(share float64) fallbackPart {
