--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -27,7 +27,7 @@
 	// kindRelay datagrams hold changes that the receiver passes on to the hosts of
 	// its zone.
 	kindRelay
-	// kindBorrow datagrams request a token from a keeper, kindLent ones respond.
+	// kindBorrow datagrams request a token from a zone lender, kindLent ones respond.
 	kindBorrow
 	kindLent
 )
--- a/edge/host.go
+++ b/edge/host.go
@@ -90,7 +90,7 @@
 	h.gossip.poison = h.poison
 	h.gossip.peerTokens = &peerTokens{view: h.view, take: h.tokens.takeForPeer, send: h.gossip.sendTo}
 	h.gossip.peerTokens.run()
-	h.tokens.self, h.tokens.keeper, h.tokens.request = h.Settings.ID, h.view.keeper, h.gossip.peerTokens.request
+	h.tokens.self, h.tokens.zoneLender, h.tokens.request = h.Settings.ID, h.view.zoneLender, h.gossip.peerTokens.request
 	if err := h.gossip.run(); err != nil {
 		return errors.Wrap(err, "edge.Run")
 	}
--- a/edge/peer_tokens.go
+++ b/edge/peer_tokens.go
@@ -21,7 +21,7 @@
 )
 
 // peerTokens requests tokens from other hosts of a large zone while no control
-// process lends them. For each account one host of the zone, its keeper, has the
+// process lends them. For each account one host of the zone, its zone lender, has the
 // zone's part of the rate: the part of each single host would be too small for
 // the requests that happen to reach it.
 type peerTokens struct {
@@ -37,7 +37,7 @@
 	running int
 }
 
-// peerLoan is the response of a keeper: a token, or the time until there may be
+// peerLoan is the response of a zone lender: a token, or the time until there may be
 // one.
 type peerLoan struct {
 	ok   bool
@@ -46,9 +46,9 @@
 
 func (p *peerTokens) run() { p.waiting = map[uint64]chan peerLoan{} }
 
-// keeper returns the keeper of an account in the local zone, and the number of
+// zoneLender returns the zone lender of an account in the local zone, and the number of
 // zones that have one. It returns false in a small zone.
-func (v *fleetView) keeper(account string) (h coordinator.Host, zones int, ok bool) {
+func (v *fleetView) zoneLender(account string) (h coordinator.Host, zones int, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	l := coordinator.Active(v.fleet.Hosts, v.zone)
@@ -68,9 +68,9 @@
 	return h, len(seen), true
 }
 
-// request requests a token of an account from its keeper. It returns false if the
-// keeper does not respond in time.
-func (p *peerTokens) request(account string, keeper coordinator.Host) (peerLoan, bool) {
+// request requests a token of an account from its zone lender. It returns false if the
+// zone lender does not respond in time.
+func (p *peerTokens) request(account string, lender coordinator.Host) (peerLoan, bool) {
 	c := make(chan peerLoan, 1)
 	p.mu.Lock()
 	p.next++
@@ -78,7 +78,7 @@
 	p.waiting[id] = c
 	p.mu.Unlock()
 	defer p.forget(id)
-	p.send(kindBorrow, append(binary.LittleEndian.AppendUint64(nil, id), account...), keeper)
+	p.send(kindBorrow, append(binary.LittleEndian.AppendUint64(nil, id), account...), lender)
 	t := time.NewTimer(peerTokenTimeout.Duration())
 	defer t.Stop()
 	select {
--- a/edge/peer_tokens_test.go
+++ b/edge/peer_tokens_test.go
@@ -36,7 +36,7 @@
 		v.fleet = list
 		t := &tokens{
 			hosts: func() int { return hosts }, reachable: func() bool { return false }, random: r.Float64,
-			self: h.ID, keeper: v.keeper, request: f.request,
+			self: h.ID, zoneLender: v.zoneLender, request: f.request,
 		}
 		t.clock.Read = func() clock.Millis { return f.now }
 		t.run()
@@ -85,17 +85,17 @@
 				n := newTokenFleet(zones, hosts).use(fmt.Sprint("account", i), times, window, r)
 				sum += n
 				if times > 1 {
-					Expect(float64(n)).To(BeNumerically(">=", tokenRate*window*keeperShare*0.9))
+					Expect(float64(n)).To(BeNumerically(">=", tokenRate*window*zoneLenderShare*0.9))
 				}
 				// A leader may have lent the burst and half a window before.
 				Expect(float64(n)/2 + tokenRate*window/2 + tokenRate).To(BeNumerically("<=", (tokenRate*window+tokenRate)*1.1+20))
 			}
 			// Requests that arrive by chance at a rate leave some of a part unused.
-			Expect(float64(sum)).To(BeNumerically(">=", accounts*tokenRate*window*keeperShare*0.7))
+			Expect(float64(sum)).To(BeNumerically(">=", accounts*tokenRate*window*zoneLenderShare*0.7))
 		}
 	})
 
-	It("stay within the quota if keepers do not respond", func() {
+	It("stay within the quota if zone lenders do not respond", func() {
 		r := rand.New(rand.NewSource(3))
 		f := newTokenFleet(zones, hosts)
 		for i := range hosts / 2 {
@@ -107,7 +107,7 @@
 		}
 	})
 
-	It("come from the keeper as long as a control process lends to it", func() {
+	It("come from the zone lender as long as a control process lends to it", func() {
 		f := newTokenFleet(zones, hosts)
 		lent := 0
 		for _, t := range f.hosts {
@@ -118,7 +118,7 @@
 		}
 		a := &catalog.Account{Name: "x", Rate: tokenRate, Burst: tokenRate}
 		cut := f.hosts[0]
-		h, _, ok := cut.keeper("x")
+		h, _, ok := cut.zoneLender("x")
 		Expect(ok).To(BeTrue())
 		Expect(h.ID).NotTo(Equal(cut.self))
 		f.by[h.ID].reachable = func() bool { return true }
@@ -132,23 +132,23 @@
 
 var _ = Describe("a request for a token to another host", func() {
 	It("is answered once, and later copies of the response are dropped", func() {
-		asker, keeper := &peerTokens{}, &peerTokens{}
-		list := &coordinator.Fleet{Hosts: []coordinator.Host{{ID: "asker"}, {ID: "keeper"}}}
+		asker, lender := &peerTokens{}, &peerTokens{}
+		list := &coordinator.Fleet{Hosts: []coordinator.Host{{ID: "asker"}, {ID: "lender"}}}
 		c := &catalog.Config{Accounts: []catalog.Account{{Name: "x"}}}
 		c.Index()
 		v := &fleetView{fleet: list, config: c}
 		var responses [][]byte
 		asker.send = func(kind byte, b []byte, to coordinator.Host) {
 			Expect(kind).To(Equal(byte(kindBorrow)))
-			Expect(to.ID).To(Equal("keeper"))
-			keeper.receiveRequest("asker", b)
+			Expect(to.ID).To(Equal("lender"))
+			lender.receiveRequest("asker", b)
 		}
-		keeper.view = v
-		keeper.take = func(a *catalog.Account) (bool, clock.Millis) {
+		lender.view = v
+		lender.take = func(a *catalog.Account) (bool, clock.Millis) {
 			Expect(a.Name).To(Equal("x"))
 			return true, 0
 		}
-		keeper.send = func(kind byte, b []byte, to coordinator.Host) {
+		lender.send = func(kind byte, b []byte, to coordinator.Host) {
 			Expect(kind).To(Equal(byte(kindLent)))
 			Expect(to.ID).To(Equal("asker"))
 			responses = append(responses, b)
@@ -156,7 +156,7 @@
 			asker.receiveLoan(b)
 		}
 		asker.run()
-		keeper.run()
+		lender.run()
 		l, ok := asker.request("x", list.Hosts[1])
 		Expect(ok).To(BeTrue())
 		Expect(l.ok).To(BeTrue())
@@ -185,13 +185,13 @@
 	})
 })
 
-// asking is a request to a keeper that does not respond.
+// asking is a request to a zone lender that does not respond.
 type asking struct {
 	tokens *peerTokens
 	done   chan<- bool
 }
 
 func (a *asking) run() {
-	_, ok := a.tokens.request("x", coordinator.Host{ID: "keeper"})
+	_, ok := a.tokens.request("x", coordinator.Host{ID: "lender"})
 	a.done <- ok
 }
--- a/edge/tokens.go
+++ b/edge/tokens.go
@@ -16,12 +16,12 @@
 	// fallbackShare is the share that hosts use of their part of a rate while they
 	// cannot borrow.
 	fallbackShare = 0.7
-	// keeperShare is the part of fallbackShare that the keepers of all zones
-	// together have; hosts whose keeper does not respond have the rest.
-	keeperShare = 0.55
-	// keeperBurst is the number of tokens that a keeper holds for requests that
+	// zoneLenderShare is the part of fallbackShare that the zone lenders of all zones
+	// together have; hosts whose zone lender does not respond have the rest.
+	zoneLenderShare = 0.55
+	// zoneLenderBurst is the number of tokens that a zone lender holds for requests that
 	// arrive together.
-	keeperBurst = 2
+	zoneLenderBurst = 2
 	// fallbackBurst is the burst of the fallback bucket beyond one token, in
 	// seconds of the host's part of the rate.
 	fallbackBurst = 0.2
@@ -50,11 +50,11 @@
 	hosts func() int
 	// random returns a number in [0, 1).
 	random func() float64
-	// keeper returns the host of a large zone that has the zone's part of an
+	// zoneLender returns the host of a large zone that has the zone's part of an
 	// account's rate, and the number of zones; see peerTokens. It may be nil.
-	keeper func(account string) (h coordinator.Host, zones int, ok bool)
-	// request requests a token from a keeper. It returns false without a response.
-	request func(account string, keeper coordinator.Host) (peerLoan, bool)
+	zoneLender func(account string) (h coordinator.Host, zones int, ok bool)
+	// request requests a token from a zone lender. It returns false without a response.
+	request func(account string, lender coordinator.Host) (peerLoan, bool)
 	// self is the host's ID.
 	self string
 
@@ -130,29 +130,29 @@
 }
 
 // takeWithoutLender takes a token while no control process lends any: from the
-// keeper of the account in a large zone, otherwise of the host's own part of the
+// zone lender of the account in a large zone, otherwise of the host's own part of the
 // rate.
 func (t *tokens) takeWithoutLender(a *catalog.Account) (bool, clock.Millis) {
-	if t.keeper == nil {
+	if t.zoneLender == nil {
 		return t.takeFallback(a, t.ownPart(fallbackShare))
 	}
-	h, zones, ok := t.keeper(a.Name)
+	h, zones, ok := t.zoneLender(a.Name)
 	switch {
 	case !ok:
 		return t.takeFallback(a, t.ownPart(fallbackShare))
 	case h.ID == t.self:
-		return t.takeFallback(a, fallbackPart{share: keeperShare / float64(zones), burst: keeperBurst})
+		return t.takeFallback(a, fallbackPart{share: zoneLenderShare / float64(zones), burst: zoneLenderBurst})
 	}
 	if l, ok := t.request(a.Name, h); ok {
 		return l.ok, l.wait
 	}
-	return t.takeFallback(a, t.ownPart(fallbackShare-keeperShare))
+	return t.takeFallback(a, t.ownPart(fallbackShare-zoneLenderShare))
 }
 
 // takeForPeer takes a token for another host of the zone: one that a control
 // process lends, or else of the part of this host.
 func (t *tokens) takeForPeer(a *catalog.Account) (bool, clock.Millis) {
-	if h, _, ok := t.keeper(a.Name); !ok || h.ID != t.self {
+	if h, _, ok := t.zoneLender(a.Name); !ok || h.ID != t.self {
 		// The other host has another list of hosts.
 		return false, minRetryAfter
 	}
