Remove a control process from the voters when it stops

Cause: a stopped process stayed a voter for 4 or 12 s. With its replacement there were four voters, a majority of three, and two of them had ended for good.

Change: a stopping process asks the leader to be removed before it ends, and is removed where that makes the majority smaller. Silent voters are removed after 1 s instead of 4 s where their number is even.

--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -97,6 +97,27 @@
 	delete(c.nodes, i)
 }
 
+// crash ends a process without its planned stop.
+func (c *cluster) crash(i int) {
+	x := c.nodes[i]
+	delete(c.nodes, i)
+	close(x.stopped)
+	x.server.Close()
+	_ = x.actors.Root.StopFuture(x.replicaPID()).Wait()
+	x.disk.Close()
+}
+
+// stopper stops a process and then sends to done.
+type stopper struct {
+	process *Coordinator
+	done    chan struct{}
+}
+
+func (s *stopper) run() {
+	s.process.Stop()
+	s.done <- struct{}{}
+}
+
 // voters returns the number of voters that a process knows, zero if it knows no
 // leader.
 func (c *cluster) voters(i int) int {
@@ -234,6 +255,60 @@
 		c.waitForVersion(5, 3)
 	})
 
+	// Guards against a stopped voter that counts in majorities after its
+	// replacement has joined: one lost disk then ended control for good.
+	It("go on after a planned replacement that is followed by a lost disk", func() {
+		c := newCluster(3)
+		c.configure(0, 3)
+		c.addrs = append(c.addrs, freeAddress())
+		c.start(3, false)
+		c.waitForVoters(4)
+		c.stop(2)
+		c.configure(1, 4)
+		c.crash(1)
+		Expect(os.RemoveAll(c.data(1))).To(Succeed())
+		c.start(1, false)
+		c.waitForVersion(0, 4)
+		c.configure(1, 5)
+		c.waitForVoters(3)
+	})
+
+	// Guards against the same where all voters are replaced, some at once.
+	It("go on after all of them are replaced as planned", func() {
+		c := newCluster(3)
+		c.configure(0, 3)
+		for i := 3; i < 6; i++ {
+			c.addrs = append(c.addrs, freeAddress())
+			c.start(i, false)
+		}
+		c.waitForVoters(6)
+		done := make(chan struct{}, 3)
+		for i := range 3 {
+			x := &stopper{c.nodes[i], done}
+			delete(c.nodes, i)
+			go x.run()
+		}
+		for range 3 {
+			Eventually(done, waitTimeout).Should(Receive())
+		}
+		c.configure(3, 4)
+		c.waitForVoters(3)
+		c.waitForVersion(5, 4)
+	})
+
+	// Guards against a process that is restarted and stays without a vote.
+	It("admit a process again that was stopped and is started with its disk", func() {
+		c := newCluster(4)
+		c.waitForVoters(4)
+		c.configure(0, 3)
+		for i := range c.addrs {
+			c.stop(i)
+			c.start(i, false)
+			c.waitForVoters(4)
+		}
+		c.waitForVersion(2, 3)
+	})
+
 	It("refuse reads of the configuration and announcements without a majority", func() {
 		c := newCluster(3)
 		c.configure(0, 3)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 import (
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -45,6 +46,9 @@
 	stopped     chan struct{}
 	// failed holds the error for which the replica must restart.
 	failed chan error
+	// leaving is true while the process stops. It then reports no more, since the
+	// leader would admit it again.
+	leaving atomic.Bool
 	// reportRequests makes reportLoop send a report at once.
 	reportRequests chan struct{}
 }
@@ -278,6 +282,9 @@
 		case <-c.reportRequests:
 		case <-time.After(reportInterval.Duration()):
 		}
+		if c.leaving.Load() {
+			continue
+		}
 		p, err := request[preparedReport](c, &prepareReport{})
 		if err != nil || p.Led {
 			continue
@@ -317,15 +324,43 @@
 	return m.Reply.Led
 }
 
-// Stop ends the process. No acknowledged change is lost: it was synced before
-// it was acknowledged.
+// Stop leaves the voters and ends the process. No acknowledged change is lost: it
+// was synced before it was acknowledged. A voter that ended for good would count
+// in every majority until the leader notices, so that the loss of one more disk
+// in that time could leave no majority for ever.
 func (c *Coordinator) Stop() {
+	c.leaving.Store(true)
+	c.leave()
 	close(c.stopped)
 	c.server.Close()
 	_ = c.actors.Root.StopFuture(c.replicaPID()).Wait()
 	c.disk.Close()
 }
 
+// leave asks the leader to remove this process from the voters, for up to
+// leaveTimeout.
+func (c *Coordinator) leave() {
+	end := c.clock.Now() + leaveTimeout
+	for c.clock.Now() < end {
+		if c.tryLeave() {
+			return
+		}
+		time.Sleep(leaveInterval.Duration())
+	}
+	c.Log.Warn("the process ends as a voter")
+}
+
+// tryLeave sends one request to leave and reports whether the process may end.
+func (c *Coordinator) tryLeave() bool {
+	r, err := request[LeaveReply](c, &leave{})
+	if err != nil || r.Done || r.Leader == "" || r.Leader == c.Settings.Peer {
+		return err == nil && r.Done
+	}
+	var l LeaveReply
+	err = c.pool.Get(r.Leader).Call("Peer.Leave", LeaveArgs{r.ID}, &l, callTimeout)
+	return err == nil && l.Done
+}
+
 // request sends a message to the replica actor and returns its response. The
 // error is Unavailable if there is none within requestTimeout.
 func request[T any](c *Coordinator, m any) (T, error) {
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -23,7 +23,11 @@
 		return
 	}
 	if id := r.removable(now, m); id != "" {
-		r.proposeMembers(now, m.Without(id), "removed voter", id)
+		event := "removed voter"
+		if r.isLeaving(now, id) {
+			event = "voter left"
+		}
+		r.proposeMembers(now, m.Without(id), event, id)
 	}
 }
 
@@ -46,9 +50,10 @@
 	return ""
 }
 
-// removable returns a voter that is lost, empty if there is none: it does not
-// respond and its machine has another voter, because it came back with an empty
-// disk, or it has not responded for long. minVoters always stay.
+// removable returns a voter to remove, empty if there is none: it is leaving, or
+// it is lost. A voter is lost if it does not respond and its machine has another
+// voter, because it came back with an empty disk, or if it has not responded for
+// long. minVoters always stay.
 func (r *Replica) removable(now clock.Millis, m replica.Members) string {
 	if len(m.Voters) <= minVoters {
 		return ""
@@ -58,6 +63,9 @@
 		limit = removeSurplusAfter
 	}
 	for _, id := range sortedKeys(m.Voters) {
+		if r.leaves(now, m, id) {
+			return id
+		}
 		if id == r.node.ID {
 			continue
 		}
@@ -69,6 +77,52 @@
 	return ""
 }
 
+// leaves reports whether a voter is leaving and its removal makes the majority
+// smaller: with an even number of voters by itself, with an odd one if another
+// voter is absent too, which is removed next.
+func (r *Replica) leaves(now clock.Millis, m replica.Members, id string) bool {
+	if len(m.Voters) <= minVoters || !r.isLeaving(now, id) {
+		return false
+	}
+	if len(m.Voters)%2 == 0 {
+		return true
+	}
+	for o := range m.Voters {
+		if o != id && (r.isLeaving(now, o) || r.node.SinceResponse(now, o) > removeSurplusAfter) {
+			return true
+		}
+	}
+	return false
+}
+
+// isLeaving reports whether a process has asked to leave within leaveHold.
+func (r *Replica) isLeaving(now clock.Millis, id string) bool {
+	at, ok := r.leaving[id]
+	return ok && now-at < leaveHold
+}
+
+// handleLeave handles the request of a process to leave the voters. An empty ID
+// stands for this process.
+func (r *Replica) handleLeave(now clock.Millis, a LeaveArgs) LeaveReply {
+	if a.ID == "" {
+		a.ID = r.ID
+	}
+	m := r.node.Members()
+	_, voter := m.Voters[a.ID]
+	p := LeaveReply{ID: r.ID}
+	if r.node.Role() != replica.Leader {
+		p.Leader = r.leaderAddr()
+		// A leader that has removed itself is a follower without a vote. Without a
+		// leader nobody can remove a voter, and minVoters stay anyway.
+		stays := p.Leader == "" && len(m.Voters) <= minVoters
+		p.Done = a.ID == r.ID && (!voter || stays)
+		return p
+	}
+	r.leaving[a.ID] = now
+	p.Done = !r.node.MembershipChangePending() && (!voter || !r.leaves(now, m, a.ID))
+	return p
+}
+
 // hasSuccessor reports whether there is another voter on the machine of voter
 // id.
 func hasSuccessor(m replica.Members, id string) bool {
@@ -89,9 +143,13 @@
 	return l
 }
 
-// admit makes a process a learner, and drops other learners on the same
-// machine.
+// admit makes a process a learner, unless it is leaving, and drops other learners
+// on the same machine.
 func (r *Replica) admit(now clock.Millis, id, addr string) {
+	if r.isLeaving(now, id) {
+		return
+	}
+	delete(r.leaving, id)
 	m := r.node.Members()
 	n := m.WithLearner(id, addr)
 	for o := range m.Learners {
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -132,6 +132,19 @@
 	Member bool
 }
 
+// LeaveArgs is the request of a process that stops to be removed from the
+// voters.
+type LeaveArgs struct{ ID string }
+
+// LeaveReply is the response to LeaveArgs. Done is true once the process may
+// end: it is no voter, or removing it would not make the majority smaller. ID is
+// the replica ID of the process that responds, Leader the address to send the
+// request to if that process does not lead, empty if unknown.
+type LeaveReply struct {
+	Done       bool
+	ID, Leader string
+}
+
 // ProposeArgs is a request to append an encoded catalog.Change to the log.
 type ProposeArgs struct{ Data []byte }
 
@@ -167,6 +180,7 @@
 	announcement struct{ Target catalog.Target }
 	readDocument struct{ Confirmed bool }
 	awaitProof   struct{ Since clock.Millis }
+	leave        struct{ Args LeaveArgs }
 	dumpState    struct{}
 )
 
--- a/coordinator/peer.go
+++ b/coordinator/peer.go
@@ -26,6 +26,12 @@
 	return err
 }
 
+// Leave removes a process that stops from the voters, if this process leads.
+func (p Peer) Leave(a LeaveArgs, r *LeaveReply) (err error) {
+	*r, err = request[LeaveReply](p.c, &leave{a})
+	return err
+}
+
 // Propose appends a change to the log, if this process leads, and waits until
 // it is committed.
 func (p Peer) Propose(a ProposeArgs, r *ProposeReply) (err error) {
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -48,10 +48,13 @@
 	encodedAt uint64
 	// freshAt is the latest time at which the state is proven to have held every
 	// accepted change. Proven is false as long as there is no such proof.
-	freshAt  clock.Millis
-	proven   bool
-	fleet    *fleetTable
-	lender   *lender
+	freshAt clock.Millis
+	proven  bool
+	fleet   *fleetTable
+	lender  *lender
+	// leaving holds when processes that stop last asked the leader to leave, by
+	// replica ID.
+	leaving  map[string]clock.Millis
 	lastRole replica.Role
 	leaderID string
 }
@@ -148,6 +151,8 @@
 		c.Respond(currentDocument{Version: r.state.Version, Document: r.state.Document})
 	case *awaitProof:
 		r.pendingReads = append(r.pendingReads, &pendingRead{sender: c.Sender(), since: m.Since})
+	case *leave:
+		c.Respond(r.handleLeave(now, m.Args))
 	case *dumpState:
 		c.Respond(r.dump(now))
 	}
@@ -156,6 +161,7 @@
 func (r *Replica) start(now clock.Millis) {
 	r.state = catalog.New(r.Translate)
 	r.proposals = map[uint64]*pendingProposal{}
+	r.leaving = map[string]clock.Millis{}
 	r.fleet = &fleetTable{Settings: r.Settings}
 	r.fleet.run()
 	r.lender = &lender{}
--- a/coordinator/settings.go
+++ b/coordinator/settings.go
@@ -57,10 +57,17 @@
 	// the users' quotas allow beyond rate and burst in any window.
 	takeoverTokens = 5
 	// removeSurplusAfter and removeLostAfter are the times without a response
-	// after which a voter is removed: with an even number of voters, where a
-	// replacement has joined, and with an odd one.
-	removeSurplusAfter = 4 * clock.Second
+	// after which a voter is removed: with an even number of voters, where
+	// removing it makes the majority smaller, and with an odd one.
+	removeSurplusAfter = 1 * clock.Second
 	removeLostAfter    = 12 * clock.Second
+	// leaveTimeout bounds how long a stopping process waits until it is no
+	// longer a voter. It includes the election of a new leader.
+	leaveTimeout  = 3 * clock.Second
+	leaveInterval = 50 * clock.Millis(1)
+	// leaveHold is the time after a request to leave in which the leader does
+	// not admit the sender again: a report may have been under way.
+	leaveHold = 2 * clock.Second
 	// minVoters is the number of voters at which none is removed.
 	minVoters = 3
 	// maxRecentChanges is the number of changes kept to send hosts updates
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -50,7 +50,7 @@
 	if n.role != Leader {
 		return NotLeader{Leader: n.leader}
 	}
-	if n.membershipChangePending() || n.commit < n.termStart {
+	if n.MembershipChangePending() || n.commit < n.termStart {
 		return MembershipChangePending{}
 	}
 	c := m.Copy()
@@ -58,7 +58,9 @@
 	return nil
 }
 
-func (n *Node) membershipChangePending() bool {
+// MembershipChangePending reports whether the log holds a change of membership
+// that is not committed.
+func (n *Node) MembershipChangePending() bool {
 	for _, e := range n.entries {
 		if e.Index > n.commit && e.Members != nil {
 			return true
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -277,7 +277,7 @@
 func (c *cluster) repaired() bool {
 	for _, id := range c.ids() {
 		n := c.machines[id].node
-		if n.Role() != Leader || c.machines[id].frozenUntil > c.now || n.commit < n.termStart || n.membershipChangePending() {
+		if n.Role() != Leader || c.machines[id].frozenUntil > c.now || n.commit < n.termStart || n.MembershipChangePending() {
 			continue
 		}
 		k := 0
