Skip orders for a zone that another one has superseded

Cause: a woken process carried out an order to restore the zone that it found on its connection. The operator had sent it elsewhere meanwhile, and had evacuated the zone again. Nothing tells how old an order is.

Change: zones have a revision.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -126,6 +126,26 @@
 		Expect(s.EvacuatedZones).To(BeEmpty())
 	})
 
+	// Guards against an order that is carried out after a later one for the zone.
+	It("skips an order for a zone that was made before another one took effect", func() {
+		s := New(translate)
+		zero := uint64(0)
+		Expect(s.Apply(Change{Evacuate: "z", Revision: &zero})).To(Succeed())
+		first := s.ZoneRevisions["z"]
+		restore := Change{Restore: "z", Revision: &first}
+		Expect(s.Apply(restore)).To(Succeed())
+		Expect(s.Superseded(restore)).To(BeFalse())
+		Expect(s.Apply(Change{Evacuate: "z"})).To(Succeed())
+		Expect(s.Apply(restore)).To(Succeed())
+		Expect(s.Superseded(restore)).To(BeTrue())
+		Expect(s.EvacuatedZones).To(HaveKey("z"))
+		// An order that changes nothing counts as one too.
+		second := s.ZoneRevisions["z"]
+		Expect(s.Apply(Change{Evacuate: "z"})).To(Succeed())
+		Expect(s.Apply(Change{Restore: "z", Revision: &second})).To(Succeed())
+		Expect(s.EvacuatedZones).To(HaveKey("z"))
+	})
+
 	It("decodes what it encoded", func() {
 		s := New(translate)
 		Expect(s.Apply(document(7))).To(Succeed())
--- a/catalog/change.go
+++ b/catalog/change.go
@@ -25,6 +25,9 @@
 	// gets work again.
 	Evacuate string `json:"evacuate,omitempty"`
 	Restore  string `json:"restore,omitempty"`
+	// Revision makes Evacuate and Restore have no effect unless it is the
+	// revision of the zone. Without it they always have one.
+	Revision *uint64 `json:"revision,omitempty"`
 	// Targets are announcements of targets.
 	Targets []Target `json:"targets,omitempty"`
 }
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -23,6 +23,9 @@
 	Targets map[string]Target `json:"targets"`
 	// EvacuatedZones are the zones that get no new work.
 	EvacuatedZones map[string]bool `json:"zonesOut"`
+	// ZoneRevisions holds the Sequence at which the last order to evacuate or
+	// restore each zone took effect.
+	ZoneRevisions map[string]uint64 `json:"zoneRevisions,omitempty"`
 
 	// Config is the last Document that UpdateConfig or Decode parsed without an
 	// error, nil before the first.
@@ -41,7 +44,7 @@
 
 // New returns an empty state that parses documents with translate.
 func New(translate func([]byte) (*Config, error)) *State {
-	return &State{Targets: map[string]Target{}, EvacuatedZones: map[string]bool{}, Translate: translate}
+	return &State{Targets: map[string]Target{}, EvacuatedZones: map[string]bool{}, ZoneRevisions: map[string]uint64{}, Translate: translate}
 }
 
 // Apply applies a change. Call UpdateConfig before Config is used: of many
@@ -59,10 +62,10 @@
 	if c.Document != nil && c.Version > s.Version {
 		s.Version, s.Document, s.configStale = c.Version, c.Document, true
 	}
-	if c.Evacuate != "" {
+	if c.Evacuate != "" && s.orderZone(c.Evacuate, c.Revision) {
 		s.EvacuatedZones[c.Evacuate] = true
 	}
-	if c.Restore != "" {
+	if c.Restore != "" && s.orderZone(c.Restore, c.Revision) {
 		delete(s.EvacuatedZones, c.Restore)
 	}
 	for _, t := range c.Targets {
@@ -71,6 +74,23 @@
 	return nil
 }
 
+// orderZone reports whether an order for a zone takes effect, and then raises the
+// zone's revision.
+func (s *State) orderZone(zone string, revision *uint64) bool {
+	if revision != nil && *revision != s.ZoneRevisions[zone] {
+		return false
+	}
+	s.ZoneRevisions[zone] = s.Sequence
+	return true
+}
+
+// Superseded reports whether the zone orders of the change that was applied last
+// had no effect, because another order for the zone came first.
+func (s *State) Superseded(c Change) bool {
+	zone := c.Evacuate + c.Restore
+	return zone != "" && s.ZoneRevisions[zone] != s.Sequence
+}
+
 // expand returns the packed document of a change that has a Delta.
 func (s *State) expand(c Change) ([]byte, error) {
 	if c.Base != s.Version {
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/carawayrack/carawayrack/catalog"
@@ -214,7 +215,7 @@
 		c := newCluster(5)
 		c.waitForVoters(5)
 		c.configure(0, 9)
-		Expect(c.nodes[1].Evacuate("z1", true)).To(Succeed())
+		Expect(c.nodes[1].Evacuate("z1", true, 0)).To(Succeed())
 		for i := range c.addrs {
 			c.stop(i)
 		}
@@ -309,6 +310,29 @@
 		c.waitForVersion(2, 3)
 	})
 
+	// Guards against an order that a suspended process or a slow connection holds
+	// up and that undoes a later one.
+	It("skip an order for a zone that arrives after a later one", func() {
+		c := newCluster(3)
+		c.configure(0, 3)
+		order := func(i int, evacuated bool, revision uint64) error {
+			return c.nodes[i].Evacuate("z1", evacuated, revision)
+		}
+		Expect(order(0, true, 0)).To(Succeed())
+		before, err := c.nodes[1].ZoneRevision("z1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(order(2, false, before)).To(Succeed())
+		between, err := c.nodes[0].ZoneRevision("z1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(order(0, true, between)).To(Succeed())
+		for i := range c.nodes {
+			Expect(errors.As(order(i, false, before), &Superseded{})).To(BeTrue())
+		}
+		d, err := c.nodes[c.leader()].State()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.EvacuatedZones).To(HaveKey("z1"))
+	})
+
 	It("refuse reads of the configuration and announcements without a majority", func() {
 		c := newCluster(3)
 		c.configure(0, 3)
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -149,13 +149,15 @@
 type ProposeArgs struct{ Data []byte }
 
 // ProposeReply is the response to ProposeArgs. Accepted is true if the change
-// was committed; otherwise its outcome may be unknown. Sequence is that of the
-// state with the change. If Leader is the address of another process, nothing
-// was appended, and the request can be sent to that address.
+// was committed; otherwise its outcome may be unknown. Superseded is true if it
+// then had no effect; see catalog.State.Superseded. Sequence is that of the state
+// with the change. If Leader is the address of another process, nothing was
+// appended, and the request can be sent to that address.
 type ProposeReply struct {
-	Accepted bool
-	Sequence uint64
-	Leader   string
+	Accepted   bool
+	Superseded bool
+	Sequence   uint64
+	Leader     string
 }
 
 // The messages to the replica actor. Those that expect a response are sent with
@@ -192,11 +194,12 @@
 	Led  bool
 }
 
-// currentDocument is the configuration in force. Document is compressed, and
-// nil if there is no configuration.
+// currentDocument is the configuration in force and the revisions of the zones.
+// Document is compressed, and nil if there is no configuration.
 type currentDocument struct {
-	Version  uint64
-	Document []byte
+	Version       uint64
+	Document      []byte
+	ZoneRevisions map[string]uint64
 }
 
 // announcementReply says whether an announcement must be proposed. Known is the
--- a/coordinator/operations.go
+++ b/coordinator/operations.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"github.com/pkg/errors"
+
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 )
@@ -12,17 +14,27 @@
 // Error returns the cause.
 func (e Unavailable) Error() string { return "unavailable: " + e.Cause }
 
+// Superseded is the error of an order for a zone that was not carried out because
+// another one for the zone has come first since its revision was read.
+type Superseded struct{ Zone string }
+
+// Error names the zone.
+func (e Superseded) Error() string { return "superseded by another order for zone " + e.Zone }
+
 // submit proposes a change, at the leader if another process leads, and returns
-// once it is accepted. The error is Unavailable.
+// once it is accepted. The error is Unavailable or Superseded.
 func (c *Coordinator) submit(x catalog.Change) error {
 	b, err := x.Encode()
 	if err != nil {
 		return err
 	}
 	p, err := request[ProposeReply](c, &propose{b})
-	if err != nil || p.Accepted {
+	if err != nil {
 		return err
 	}
+	if p.Accepted {
+		return outcome(x, p)
+	}
 	if p.Leader == "" || p.Leader == c.Settings.Peer {
 		return Unavailable{Cause: "no leader is known"}
 	}
@@ -33,6 +45,14 @@
 	if !r.Accepted {
 		return Unavailable{Cause: "not accepted by " + p.Leader}
 	}
+	return outcome(x, r)
+}
+
+// outcome returns the error of a change that was accepted.
+func outcome(x catalog.Change, p ProposeReply) error {
+	if p.Superseded {
+		return errors.WithStack(Superseded{x.Evacuate + x.Restore})
+	}
 	return nil
 }
 
@@ -73,13 +93,24 @@
 // begun before this call.
 func (c *Coordinator) laterThanNow() clock.Millis { return c.clock.Now() + 1 }
 
+// ZoneRevision returns the revision of a zone, to be passed to Evacuate. It
+// includes every order accepted before the call. The error is Unavailable.
+func (c *Coordinator) ZoneRevision(zone string) (uint64, error) {
+	h, err := request[currentDocument](c, &awaitProof{Since: c.laterThanNow()})
+	return h.ZoneRevisions[zone], err
+}
+
 // Evacuate evacuates a zone if evacuated is true and restores it otherwise. It
-// returns once the change is accepted. The error is Unavailable.
-func (c *Coordinator) Evacuate(zone string, evacuated bool) error {
+// returns once the change is accepted. The order has no effect unless revision is
+// that of the zone: it may have been held up by a suspension or on a connection
+// while its sender sent it elsewhere and gave other orders since. The error is
+// Unavailable or Superseded.
+func (c *Coordinator) Evacuate(zone string, evacuated bool, revision uint64) error {
+	x := catalog.Change{Restore: zone, Revision: &revision}
 	if evacuated {
-		return c.submit(catalog.Change{Evacuate: zone})
+		x = catalog.Change{Evacuate: zone, Revision: &revision}
 	}
-	return c.submit(catalog.Change{Restore: zone})
+	return c.submit(x)
 }
 
 // Announce records the announcement of a target and returns once it is accepted
--- a/coordinator/proof.go
+++ b/coordinator/proof.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"maps"
+
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/replica"
 )
@@ -64,10 +66,14 @@
 	for _, x := range r.pendingReads {
 		switch {
 		case r.proven && r.freshAt >= x.since:
-			r.Respond(x.sender, currentDocument{Version: r.state.Version, Document: r.state.Document})
+			r.Respond(x.sender, r.currentDocument())
 		case now-x.since < callTimeout:
 			rest = append(rest, x)
 		}
 	}
 	r.pendingReads = rest
 }
+
+func (r *Replica) currentDocument() currentDocument {
+	return currentDocument{Version: r.state.Version, Document: r.state.Document, ZoneRevisions: maps.Clone(r.state.ZoneRevisions)}
+}
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -52,6 +52,8 @@
 	proven  bool
 	fleet   *fleetTable
 	lender  *lender
+	// superseded is the outcome of the last entry applied; see applyData.
+	superseded bool
 	// leaving holds when processes that stop last asked the leader to leave, by
 	// replica ID.
 	leaving  map[string]clock.Millis
@@ -148,7 +150,7 @@
 	case *announcement:
 		c.Respond(announcementReply{NeedsChange: r.state.NeedsChange(m.Target), Known: r.state.Targets[m.Target.ID], Core: r.fleet.coreIn(m.Target.Zone)})
 	case *readDocument:
-		c.Respond(currentDocument{Version: r.state.Version, Document: r.state.Document})
+		c.Respond(r.currentDocument())
 	case *awaitProof:
 		r.pendingReads = append(r.pendingReads, &pendingRead{sender: c.Sender(), since: m.Since})
 	case *leave:
@@ -238,12 +240,18 @@
 // apply applies a committed entry and responds to the proposal that waits for
 // it. Another term than the proposal's means that another entry took its place.
 func (r *Replica) apply(e replica.Entry) {
+	r.superseded = r.applyData(e)
 	if w := r.proposals[e.Index]; w != nil {
 		delete(r.proposals, e.Index)
-		r.Respond(w.sender, ProposeReply{Accepted: w.term == e.Term, Sequence: r.state.Sequence + 1})
+		r.Respond(w.sender, ProposeReply{Accepted: w.term == e.Term, Superseded: r.superseded, Sequence: r.state.Sequence})
 	}
+}
+
+// applyData applies the change of a committed entry. It reports whether the
+// change was superseded.
+func (r *Replica) applyData(e replica.Entry) bool {
 	if e.Data == nil {
-		return
+		return false
 	}
 	before := r.state.Version
 	c, err := catalog.DecodeChange(e.Data)
@@ -254,7 +262,7 @@
 		// Changes are checked before they are proposed. All replicas skip the same
 		// entry, so their states stay equal.
 		r.Log.Error("applying a log entry failed", zap.Error(err), zap.Uint64("index", e.Index))
-		return
+		return false
 	}
 	x := appliedChange{Sequence: r.state.Sequence, Data: e.Data, Rest: e.Data}
 	if c.Document != nil {
@@ -268,6 +276,7 @@
 	if len(r.recentChanges) > maxRecentChanges {
 		r.recentChanges = r.recentChanges[len(r.recentChanges)-maxRecentChanges:]
 	}
+	return r.state.Superseded(c)
 }
 
 // capture returns the encoded state for a snapshot.
@@ -304,7 +313,8 @@
 	r.proposals[i] = &pendingProposal{sender: c.Sender(), term: r.node.Term()}
 	if r.node.Commit() >= i {
 		delete(r.proposals, i)
-		c.Respond(ProposeReply{Accepted: true, Sequence: r.state.Sequence})
+		// The only voter commits an entry at once, as the last one.
+		c.Respond(ProposeReply{Accepted: true, Superseded: r.superseded, Sequence: r.state.Sequence})
 	}
 }
 
