Refuse requests that may last longer than a leaving host

Cause: the deadline of a request was not compared with the end of the process.

Change: from 2.8 s after the signal on, a request whose deadline lies after the end of the process is refused before it is passed on, with 503 and a closing connection, so that its caller goes to another host at once.

--- a/edge/call.go
+++ b/edge/call.go
@@ -100,6 +100,9 @@
 		return x
 	}
 	c.setDeadline()
+	if c.host.endsBefore(c.start, c.deadline) {
+		return &refusal{Stopping, http.StatusServiceUnavailable, 0, "the process ends before the request's deadline"}
+	}
 	if x := c.readBody(f.Limits.BodyBytes); x != nil {
 		return x
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -42,7 +42,9 @@
 	metrics     *metrics
 	server      *pipeline.Server
 	leaving     atomic.Bool
-	started     clock.Millis
+	// leavingAt is when Stop was called; it is set before leaving is.
+	leavingAt clock.Millis
+	started   clock.Millis
 }
 
 // Timeouts and intervals.
@@ -283,13 +285,31 @@
 	// finishMargin is the part of the grace period that is left for the end of
 	// the process.
 	finishMargin = 200 * clock.Millis(1)
+	// acceptAllTime is the first part of the grace period, in which most callers
+	// have not learned yet that the host leaves. The platform excuses a request
+	// that is cut off at the end of the grace period only if it was sent in its
+	// first 3 s.
+	acceptAllTime = 3*clock.Second - finishMargin
 )
 
+// endsBefore reports whether the process may end before a request that arrived at
+// a time is answered, because the host leaves and the request may last until its
+// deadline. Such a request must not be passed on. In acceptAllTime the host takes
+// all requests: nearly all are answered long before their deadline.
+func (h *Host) endsBefore(arrival, deadline clock.Millis) bool {
+	if !h.leaving.Load() || arrival < h.leavingAt+acceptAllTime {
+		return false
+	}
+	return deadline+responseMargin > h.leavingAt+h.Settings.Grace-finishMargin
+}
+
 // Stop lets the host accept requests for acceptShare of the grace period, since
-// callers may still send them. Then it waits for those in flight, and returns
-// finishMargin before the end of the grace period at the latest.
+// callers may still send them; see endsBefore for those that it refuses. Then it
+// waits for those in flight, and returns finishMargin before the end of the grace
+// period at the latest.
 func (h *Host) Stop() {
 	start := time.Now()
+	h.leavingAt = h.Clock.Now()
 	h.leaving.Store(true)
 	h.server.Drain()
 	h.control.trigger()
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -26,6 +26,9 @@
 	CallerLeft       Reason = "callerLeft"
 	Quarantined      Reason = "quarantined"
 	BodyTooLate      Reason = "bodyTooLate"
+	// Stopping counts requests that reached a leaving host so late that it might
+	// end before they are answered.
+	Stopping Reason = "stopping"
 	// NotRead counts requests behind a response that ends their connection; they
 	// get no response.
 	NotRead Reason = "notRead"
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -114,3 +114,42 @@
 		Eventually(s.done, 10*time.Second).Should(BeClosed())
 	})
 })
+
+var _ = Describe("a leaving host", func() {
+	// Guards against requests that are passed on and cut off when the process ends:
+	// callers use the address until long after the signal.
+	It("refuses requests that may last longer than the process, and passes on nothing of them", func() {
+		t := newStandin("t1", ok)
+		w := newTestHost(t)
+		w.host.Settings.Grace = 6000
+		w.host.leavingAt = w.host.Clock.Now() - 3400
+		w.host.leaving.Store(true)
+		w.host.server.Drain()
+		c, _ := w.host.view.current(w.host.Clock.Now())
+		c.Routes[1].Timeout = 4000
+		for range 3 {
+			a := w.post("/unsafe/", "body", "Left", "4000")
+			Expect(a.status).To(Equal(503))
+			Expect(a.header.Get("Retry-After")).To(BeEmpty())
+		}
+		Expect(t.requests()).To(Equal(0))
+		Expect(w.post("/unsafe/", "body", "Left", "1500").status).To(Equal(200))
+	})
+
+	DescribeTable("passes on what it can answer before it ends",
+		func(grace, arrival, timeLimit int, refused bool) {
+			h := &Host{Settings: Settings{Grace: clock.Millis(grace)}, leavingAt: 1_000_000}
+			at := h.leavingAt + clock.Millis(arrival)
+			Expect(h.endsBefore(at, at+clock.Millis(timeLimit))).To(BeFalse())
+			h.leaving.Store(true)
+			Expect(h.endsBefore(at, at+clock.Millis(timeLimit))).To(Equal(refused))
+		},
+		Entry("at once, whatever the time limit", 6000, 0, 12_000, false),
+		Entry("while callers learn that it leaves", 6000, 2700, 8000, false),
+		Entry("late, with a time limit that ends in time", 6000, 4100, 1600, false),
+		Entry("late, with a time limit that ends too late", 6000, 3400, 4000, true),
+		Entry("late, with a time limit that ends in the last milliseconds", 6000, 3400, 2400, true),
+		Entry("late in a long grace period", 10_000, 3100, 8000, true),
+		Entry("in a grace period that is shorter than the first part", 2000, 500, 4000, false),
+	)
+})
