Keep targets that announcements of unlisted services contradict

Cause: a target that is announced at an address makes all others there gone, whatever its service. The same held for announcements under another target's ID.

Change: control processes note in the log entry whether the configuration has the service of an announcement. Targets of unlisted services displace no other.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -100,6 +100,57 @@
 		Expect(s.Targets["a"].Phase).To(Equal(Gone))
 	})
 
+	// Guards against announcements of another writer that displace sound targets.
+	It("keeps a target if one of an unlisted service is announced at its address or under its ID", func() {
+		s := New(translate)
+		put := func(t Target) { Expect(s.Apply(Change{Targets: []Target{t}})).To(Succeed()) }
+		a := target("a", 10, 9)
+		put(a)
+		b := target("b", 20, 1)
+		b.Addr, b.Service, b.Unlisted = a.Addr, "unlisted", true
+		put(b)
+		Expect(s.Targets["a"].Phase).To(Equal(Serving))
+		b.ID = "a"
+		Expect(s.NeedsChange(b)).To(BeFalse())
+		put(b)
+		Expect(s.Targets["a"]).To(Equal(a))
+		// Nor does it keep out a target that is announced later and started earlier.
+		c := target("c", 15, 1)
+		c.Addr = a.Addr
+		put(c)
+		Expect(s.Targets["c"].Phase).To(Equal(Serving))
+		Expect(s.Targets["a"].Phase).To(Equal(Gone))
+		// Once its service is listed, a new announcement counts.
+		b.ID, b.Number, b.Unlisted = "b", 2, false
+		Expect(s.NeedsChange(b)).To(BeTrue())
+		put(b)
+		Expect(s.Targets["c"].Phase).To(Equal(Gone))
+	})
+
+	It("takes the departure of a target whose service is no longer listed", func() {
+		s := New(translate)
+		t := target("a", 10, 9)
+		Expect(s.Apply(Change{Targets: []Target{t}})).To(Succeed())
+		t.Number, t.Phase, t.Unlisted = 10, Leaving, true
+		Expect(s.NeedsChange(t)).To(BeTrue())
+		Expect(s.Apply(Change{Targets: []Target{t}})).To(Succeed())
+		Expect(s.Targets["a"].Phase).To(Equal(Leaving))
+	})
+
+	It("lists the services of the configuration, and without one those that contradict no other target", func() {
+		s := New(translate)
+		Expect(s.Apply(Change{Targets: []Target{target("a", 10, 1)}})).To(Succeed())
+		u := target("u", 20, 1)
+		u.Service = "other"
+		Expect(s.Lists(u)).To(BeTrue())
+		u.Addr = "a:1"
+		Expect(s.Lists(u)).To(BeFalse())
+		s.Config = &Config{Services: []Service{{Name: "other"}}}
+		s.Config.Index()
+		Expect(s.Lists(u)).To(BeTrue())
+		Expect(s.Lists(target("a", 10, 1))).To(BeFalse())
+	})
+
 	It("needs a change for a start, a new phase and the beginning of a warm-up, but not for its progress or an old announcement", func() {
 		s := New(translate)
 		t := target("t", 10, 1)
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -138,14 +138,15 @@
 
 // put stores an announcement unless the state holds the same or a newer one.
 // Only one target can serve at an address: if there are several, the one that
-// started last stays and the others become Gone.
+// started last stays and the others become Gone. Targets of unlisted services do
+// not count for that.
 func (s *State) put(t Target) {
-	if o, ok := s.Targets[t.ID]; ok && !o.Older(t) {
+	if o, ok := s.Targets[t.ID]; ok && (!o.Older(t) || t.contradicts(o)) {
 		return
 	}
-	if t.Phase == Serving {
+	if t.Phase == Serving && !t.Unlisted {
 		for id, o := range s.Targets {
-			if o.Addr != t.Addr || id == t.ID || o.Phase == Gone {
+			if o.Addr != t.Addr || id == t.ID || o.Phase == Gone || o.Unlisted {
 				continue
 			}
 			if o.Born > t.Born {
@@ -162,6 +163,27 @@
 	}
 }
 
+// contradicts reports whether t names another, unlisted service than a listed
+// target with the same ID. Its sender is not that target.
+func (t Target) contradicts(o Target) bool {
+	return t.Unlisted && !o.Unlisted && o.Phase != Gone && t.Service != o.Service
+}
+
+// Lists reports whether the configuration has a service. Without a
+// configuration every service counts as listed, unless another target has the ID
+// or the address of t.
+func (s *State) Lists(t Target) bool {
+	if s.Config != nil {
+		return s.Config.Service(t.Service) != nil
+	}
+	for id, o := range s.Targets {
+		if o.Phase != Gone && o.Service != t.Service && (id == t.ID || o.Addr == t.Addr) {
+			return false
+		}
+	}
+	return true
+}
+
 // prune drops the half of the gone targets that started first if there are more
 // than pruneAbove targets. Every replica must drop the same ones, so targets
 // that started at the same time are ordered by ID.
@@ -188,13 +210,13 @@
 
 // NeedsChange reports whether an announcement must be proposed as a change. It
 // is false if the state holds a newer announcement or one that does not differ,
-// and if the incarnation is gone.
+// if the incarnation is gone, and if another sender uses the target's ID.
 func (s *State) NeedsChange(t Target) bool {
 	o, ok := s.Targets[t.ID]
 	if !ok {
 		return true
 	}
-	if !o.Older(t) || (o.Born == t.Born && o.Phase == Gone) {
+	if !o.Older(t) || (o.Born == t.Born && o.Phase == Gone) || t.contradicts(o) {
 		return false
 	}
 	return t.Differs(o)
--- a/catalog/target.go
+++ b/catalog/target.go
@@ -33,6 +33,9 @@
 	// Cold is how much of its warm-up was left when it sent the announcement,
 	// zero if it was warm.
 	Cold clock.Millis
+	// Unlisted is true if the configuration had no such service when the
+	// announcement arrived. It then says nothing of other targets.
+	Unlisted bool `json:",omitempty"`
 }
 
 // Older reports whether announcement t precedes u: it is of an earlier
@@ -49,5 +52,5 @@
 func (t Target) Differs(u Target) bool {
 	cold := (t.Cold > 0) != (u.Cold > 0)
 	return t.Born != u.Born || t.Phase != u.Phase || t.Addr != u.Addr || t.Service != u.Service ||
-		t.Zone != u.Zone || t.Slots != u.Slots || cold
+		t.Zone != u.Zone || t.Slots != u.Slots || t.Unlisted != u.Unlisted || cold
 }
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -381,6 +381,24 @@
 		}, waitTimeout).Should(Equal(1))
 	})
 
+	// Guards against announcements of another writer that displace sound targets.
+	It("of a service that the configuration does not have leave the targets at their address alone", func() {
+		c := newCluster(3)
+		c.configure(0, 3)
+		c.waitForVersion(1, 3)
+		announce := func(t catalog.Target) {
+			Eventually(func() error { _, err := c.nodes[1].Announce(t); return err }, waitTimeout).Should(Succeed())
+		}
+		announce(testTarget("t", 1, 1))
+		other := testTarget("x", 2, 1)
+		other.Service = "unlisted"
+		announce(other)
+		announce(testTarget("t", 1, 2))
+		d, err := c.nodes[c.leader()].State()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Targets["t"].Phase).To(Equal(catalog.Serving))
+	})
+
 	It("that a target is leaving hold once acknowledged and are not undone by older ones", func() {
 		c := newCluster(3)
 		t := testTarget("t", 5, 1)
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -202,11 +202,12 @@
 	ZoneRevisions map[string]uint64
 }
 
-// announcementReply says whether an announcement must be proposed. Known is the
-// last announcement of the target, Core the address of a control process in its
-// zone.
+// announcementReply says whether an announcement must be proposed, and whether its
+// service is unlisted. Known is the last announcement of the target, Core the
+// address of a control process in its zone.
 type announcementReply struct {
 	NeedsChange bool
+	Unlisted    bool
 	Known       catalog.Target
 	Core        string
 }
--- a/coordinator/operations.go
+++ b/coordinator/operations.go
@@ -121,6 +121,7 @@
 	if err != nil || !n.NeedsChange {
 		return n.Core, err
 	}
+	t.Unlisted = n.Unlisted
 	return n.Core, c.submit(catalog.Change{Targets: []catalog.Target{t}})
 }
 
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -148,7 +148,7 @@
 func (r *Replica) receiveRequest(c actor.Context, now clock.Millis) {
 	switch m := c.Message().(type) {
 	case *announcement:
-		c.Respond(announcementReply{NeedsChange: r.state.NeedsChange(m.Target), Known: r.state.Targets[m.Target.ID], Core: r.fleet.coreIn(m.Target.Zone)})
+		c.Respond(r.handleAnnouncement(m.Target))
 	case *readDocument:
 		c.Respond(r.currentDocument())
 	case *awaitProof:
@@ -160,6 +160,15 @@
 	}
 }
 
+// handleAnnouncement tells whether an announcement must be proposed, and whether
+// its service is listed.
+func (r *Replica) handleAnnouncement(t catalog.Target) announcementReply {
+	t.Unlisted = !r.state.Lists(t)
+	return announcementReply{
+		NeedsChange: r.state.NeedsChange(t), Unlisted: t.Unlisted, Known: r.state.Targets[t.ID], Core: r.fleet.coreIn(t.Zone),
+	}
+}
+
 func (r *Replica) start(now clock.Millis) {
 	r.state = catalog.New(r.Translate)
 	r.proposals = map[uint64]*pendingProposal{}
