Bound the memory of all bodies together

Another operator's report: a faulty target sent bytes without end, and the host that kept them ran out of memory, with the requests of all callers.

Cause here: each response was bounded by 4 MiB, their sum was not.

Change: unfinished responses share a budget of an eighth of the host's memory beyond 64 KiB each, and bodies of requests another one. A request body without room is streamed, a response without room ends its attempt without blame for the target.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -158,17 +157,20 @@
 // returns what execute returns.
 func (a *attempt) readResponse() (*refusal, bool) {
 	c := a.call
-	b, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedResponse))
+	b, err := c.host.responseBuffers.read(a.response.Body, maxBufferedResponse)
+	// The budget bounds what unfinished responses occupy: a complete one is soon
+	// sent to the caller.
+	c.host.responseBuffers.give(b.reserved)
 	if err == nil {
 		err = a.validate()
 	}
-	if err == nil && len(b) == maxBufferedResponse {
+	if err == nil && !b.whole {
 		err = InvalidResponse{"larger than " + strconv.Itoa(maxBufferedResponse-1) + " bytes"}
 	}
 	if err != nil {
 		return a.reject(err)
 	}
-	a.body = b
+	a.body = b.bytes
 	o := balance.Served
 	if a.response.StatusCode >= http.StatusInternalServerError {
 		o = balance.Failed
@@ -184,6 +186,11 @@
 		a.finish(a.cancelOutcome())
 		return &refusal{CallerLeft, http.StatusBadGateway, 0, "while a target ran the request"}, false
 	}
+	if errors.As(err, &BufferFull{}) {
+		// Other responses have used the memory; this target is not to blame.
+		a.finish(balance.Cancelled)
+		return &refusal{MemoryFull, http.StatusBadGateway, 0, err.Error()}, false
+	}
 	a.finish(balance.Broken)
 	return &refusal{TargetFailed, http.StatusBadGateway, 0, err.Error()}, a.call.idempotent()
 }
--- /dev/null
+++ b/edge/body_budget_test.go
@@ -0,0 +1,140 @@
+package edge
+
+import (
+	"io"
+	"net"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing/iotest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+)
+
+// halfBody is a target that answers each connection with the start of a body and
+// then waits until it is told to end.
+type halfBody struct {
+	ln   net.Listener
+	size int
+	// written receives once a connection has got size bytes or was closed.
+	written chan struct{}
+	end     chan struct{}
+}
+
+func newHalfBody(size int, written, end chan struct{}) *halfBody {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	t := &halfBody{ln: l, size: size, written: written, end: end}
+	DeferCleanup(l.Close)
+	go t.loop()
+	return t
+}
+
+func (t *halfBody) loop() {
+	for {
+		c, err := t.ln.Accept()
+		if err != nil {
+			return
+		}
+		s := &halfBodyConn{t, c}
+		go s.run()
+	}
+}
+
+// halfBodyConn is one connection to a halfBody.
+type halfBodyConn struct {
+	target *halfBody
+	conn   net.Conn
+}
+
+func (s *halfBodyConn) run() {
+	defer s.conn.Close()
+	head := make([]byte, 4096)
+	_, _ = s.conn.Read(head)
+	_, err := io.WriteString(s.conn, "HTTP/1.1 200 OK\r\nReq-Id: r1\r\nSeal: x\r\n\r\n")
+	piece := strings.Repeat("x", 64<<10)
+	for n := 0; n < s.target.size && err == nil; n += len(piece) {
+		_, err = io.WriteString(s.conn, piece)
+	}
+	s.target.written <- struct{}{}
+	if err == nil {
+		<-s.target.end
+	}
+}
+
+// poster posts requests to an unsafe route.
+type poster struct {
+	host *testHost
+	done *sync.WaitGroup
+}
+
+func (p *poster) run() {
+	defer GinkgoRecover()
+	defer p.done.Done()
+	_, _ = p.host.call("POST", "/unsafe/", "b", "Left", "30000")
+}
+
+var _ = Describe("the memory for bodies", func() {
+	// Guards against faulty targets that send bodies without end to many requests at
+	// once: the host ran out of memory, and all its requests ended with it.
+	It("is bounded while many responses do not end", func() {
+		const responses, size = 80, 3 << 20
+		written, end := make(chan struct{}, responses), make(chan struct{})
+		var targets []*standin
+		for k := range responses / 8 {
+			targets = append(targets, &standin{id: "t" + strconv.Itoa(k), ln: newHalfBody(size, written, end).ln})
+		}
+		w := newTestHost(targets...)
+		c, _ := w.host.view.current(w.host.Clock.Now())
+		c.Routes[1].Timeout = 30_000
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var done sync.WaitGroup
+		for range responses {
+			done.Add(1)
+			p := &poster{w, &done}
+			go p.run()
+		}
+		for range responses {
+			Eventually(written, "20s").Should(Receive())
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		close(end)
+		done.Wait()
+		Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", defaultBuffers+responses*(freeBuffer+64<<10)))
+		Expect(w.host.responseBuffers.used.Load()).To(BeZero())
+	})
+
+	It("is given back, and bodies that find none are cut where they are", func() {
+		b := &bodyBudget{limit: 1 << 20}
+		x, err := b.read(strings.NewReader(strings.Repeat("x", 900<<10)), 2<<20)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(x.whole).To(BeTrue())
+		Expect(x.bytes).To(HaveLen(900 << 10))
+		y, err := b.read(strings.NewReader(strings.Repeat("y", 900<<10)), 2<<20)
+		Expect(errors.As(err, &BufferFull{})).To(BeTrue())
+		Expect(len(y.bytes)).To(BeNumerically(">=", freeBuffer))
+		b.give(x.reserved + y.reserved)
+		Expect(b.used.Load()).To(BeZero())
+		z, err := b.read(iotest.OneByteReader(strings.NewReader("small")), 2<<20)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(z.bytes)).To(Equal("small"))
+		Expect(z.reserved).To(BeZero())
+	})
+
+	It("does not refuse a request whose body finds none, which is streamed", func() {
+		t := newStandin("t1", ok)
+		w := newTestHost(t)
+		w.host.requestBuffers.limit = 0
+		body := strings.Repeat("z", 300<<10)
+		Expect(w.post("/unsafe/", body).status).To(Equal(200))
+		Expect(w.chunked("/unsafe/", strings.NewReader(body)).status).To(Equal(200))
+		Expect(t.body).To(Equal([]string{body, body}))
+		Expect(w.host.requestBuffers.used.Load()).To(BeZero())
+	})
+})
--- a/edge/call.go
+++ b/edge/call.go
@@ -47,6 +47,11 @@
 	body       []byte
 	unreadBody io.Reader
 	bodyLength int64
+	// streamed is true if the body was not buffered as a whole. It cannot be sent
+	// twice then.
+	streamed bool
+	// reserved is the number of bytes of the body taken from the host's budget.
+	reserved int
 	// attempts is the number of attempts, unsent the number of those in which
 	// nothing was sent to the target. mayHaveRun is true once a target may have run
 	// the request.
@@ -159,7 +164,8 @@
 	return &refusal{OverQuota, http.StatusTooManyRequests, wait, "account " + c.account.Name}
 }
 
-// readBody reads the body up to maxBufferedBody. It refuses a body that exceeds
+// readBody reads the body up to maxBufferedBody, or less if bodies of other
+// requests occupy the memory; the rest is streamed. It refuses a body that exceeds
 // the limit, and one that does not arrive before the deadline.
 func (c *call) readBody(limit int64) *refusal {
 	if limit <= 0 {
@@ -175,22 +181,24 @@
 	// The error is that of a server that does not support deadlines.
 	_ = http.NewResponseController(c.w).SetReadDeadline(c.netDeadline(c.deadline))
 	c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
-	b, err := io.ReadAll(io.LimitReader(c.r.Body, maxBufferedBody))
+	b, err := c.host.requestBuffers.read(c.r.Body, maxBufferedBody)
+	c.reserved = b.reserved
 	var large *http.MaxBytesError
 	switch {
+	case err == nil, errors.As(err, &BufferFull{}):
 	case errors.As(err, &large):
 		return &refusal{BodyTooLarge, http.StatusRequestEntityTooLarge, 0, "more than " + strconv.FormatInt(limit, 10)}
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &refusal{BodyTooLate, http.StatusRequestTimeout, 0, strconv.Itoa(len(b)) + " bytes arrived"}
-	case err != nil:
+		return &refusal{BodyTooLate, http.StatusRequestTimeout, 0, strconv.Itoa(len(b.bytes)) + " bytes arrived"}
+	default:
 		return &refusal{BadRequest, http.StatusBadRequest, 0, "cannot read the request body: " + err.Error()}
 	}
-	c.body = b
-	if len(b) < maxBufferedBody {
-		c.bodyLength = int64(len(b))
+	c.body = b.bytes
+	if b.whole {
+		c.bodyLength = int64(len(b.bytes))
 		return nil
 	}
-	c.unreadBody = c.r.Body
+	c.unreadBody, c.streamed = c.r.Body, true
 	return nil
 }
 
@@ -256,7 +264,7 @@
 }
 
 // replayable reports whether the body can be sent again.
-func (c *call) replayable() bool { return c.bodyLength >= 0 && len(c.body) < maxBufferedBody }
+func (c *call) replayable() bool { return !c.streamed }
 
 // netDeadline converts a time of the host's clock to the wall clock, which the
 // net package uses.
--- a/edge/host.go
+++ b/edge/host.go
@@ -39,9 +39,11 @@
 	// poison detects requests that crash their targets.
 	poison      *poisonDetector
 	targetConns *forward.Pool
-	metrics     *metrics
-	server      *pipeline.Server
-	leaving     atomic.Bool
+	// requestBuffers and responseBuffers bound the memory for bodies.
+	requestBuffers, responseBuffers *bodyBudget
+	metrics                         *metrics
+	server                          *pipeline.Server
+	leaving                         atomic.Bool
 	// leavingAt is when Stop was called; it is set before leaving is.
 	leavingAt clock.Millis
 	started   clock.Millis
@@ -71,6 +73,7 @@
 func (h *Host) Run() error {
 	h.started = h.Clock.Now()
 	h.metrics = newMetrics()
+	h.requestBuffers, h.responseBuffers = newBodyBudget(h.Settings.Memory), newBodyBudget(h.Settings.Memory)
 	h.view = &fleetView{zone: h.Settings.Zone, self: h.Settings.ID, retry: h.Settings.Retry, random: rand.IntN, log: h.Log}
 	h.view.run()
 	peers := &wire.Pool{Secret: h.Settings.Secret}
@@ -223,6 +226,7 @@
 		c.start -= clock.FromDuration(time.Since(t))
 	}
 	h.control.noteRequest(now)
+	defer c.releaseBody()
 	if x := c.admit(); x != nil {
 		c.refuse(x)
 		return
@@ -236,6 +240,9 @@
 	c.writeResponse(a)
 }
 
+// releaseBody gives the memory of the request's body back to the budget.
+func (c *call) releaseBody() { c.host.requestBuffers.give(c.reserved) }
+
 // overdue records that a target has not responded within the usual time.
 func (h *Host) overdue(service string, a *attempt) {
 	a.overdue.Store(true)
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -26,6 +26,8 @@
 	CallerLeft       Reason = "callerLeft"
 	Quarantined      Reason = "quarantined"
 	BodyTooLate      Reason = "bodyTooLate"
+	// MemoryFull counts requests whose responses found no memory; see bodyBudget.
+	MemoryFull Reason = "memoryFull"
 	// Stopping counts requests that reached a leaving host so late that it might
 	// end before they are answered.
 	Stopping Reason = "stopping"
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -29,6 +29,8 @@
 	MaxRefusalAge clock.Millis
 	// Retry is the retry budget of the fleet.
 	Retry RetryBudget
+	// Memory is the memory of the process in bytes, 0 if unknown.
+	Memory int64
 	// Grace is the time from the signal to stop to the end of the process.
 	Grace clock.Millis
 }
