--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -234,9 +234,7 @@
 	r := balance.Result{Outcome: o, Took: now - a.started}
 	if a.response != nil {
 		r.Load = parseLoad(a.response.Header.Get(c.host.Headers.Load))
-		if n, err := strconv.ParseInt(a.response.Header.Get(c.host.Headers.WarmUp), 10, 64); err == nil {
-			r.Cold = clock.Millis(n)
-		}
+		r.Cold = parseWarmUp(a.response.Header.Get(c.host.Headers.WarmUp))
 	}
 	switch o {
 	case balance.Served:
@@ -261,6 +259,20 @@
 	}
 }
 
+// maxWarmUp bounds the warm-up that a target may announce: a longer one is a
+// mistake of the target, and its end might not be a valid time.
+const maxWarmUp = 24 * 60 * 60 * clock.Second
+
+// parseWarmUp parses the remaining warm-up in milliseconds. It returns 0 if s is
+// malformed or negative, and at most maxWarmUp.
+func parseWarmUp(s string) clock.Millis {
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return max(min(clock.Millis(n), maxWarmUp), 0)
+}
+
 // parseLoad parses "running,waiting,slots". It returns the zero Load if s is
 // malformed.
 func parseLoad(s string) balance.Load {
