Keep what targets say of themselves, by incarnation

Targets may say in any response that they leave, and with 503 and Retry-After that they want a pause. Package balance keeps both for the incarnation that said it: neither a control process nor a late response of an earlier incarnation changes it. Such targets are not picked, not checked, and Wanted is asked again right before a request is sent, for which forward.Exchange has a hook. Nothing calls it yet.

Targets in a pause stay as healthy as they were. Hosts do not tell each other: a notice binds the host that got it, control processes tell all others within their drain time, and a rumour could take a sound target out of use.

--- a/balance/health.go
+++ b/balance/health.go
@@ -102,6 +102,10 @@
 	case Misdirected:
 		t.misdirected = true
 	case Shed:
+		if now < t.pausedUntil {
+			// The pause says how long the target is full.
+			return
+		}
 		// The target counts as full for loadMaxAge.
 		t.load, t.loadAt = Load{Known: true, Running: t.slots() + maxQueuedAtTarget}, now
 	}
--- a/balance/health_check.go
+++ b/balance/health_check.go
@@ -3,12 +3,15 @@
 import (
 	"slices"
 
-	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 )
 
 // HealthCheck is a target whose health path is to be requested.
-type HealthCheck struct{ ID, Addr string }
+type HealthCheck struct {
+	ID, Addr string
+	// Born is the start of the target's incarnation.
+	Born int64
+}
 
 const (
 	// checkAfter is the time without an observation after which an unhealthy
@@ -47,7 +50,7 @@
 	for _, t := range p.order {
 		if p.checkDue(now, t) {
 			t.checkedAt, t.checking = now, true
-			l = append(l, HealthCheck{t.ID, t.Addr})
+			l = append(l, HealthCheck{t.ID, t.Addr, t.Born})
 		}
 	}
 	return l
@@ -57,7 +60,7 @@
 	if t.successesNeeded <= checkedSuccessesNeeded || t.checking || t.probing || t.totalInFlight(now) > 0 {
 		return false
 	}
-	if t.Phase != catalog.Serving || t.misdirected || p.evacuated[t.Zone] || t.cold(now) {
+	if !p.inUse(t) || now < t.pausedUntil || t.cold(now) {
 		return false
 	}
 	rank := slices.Index(t.owners, p.Self)
--- a/balance/health_check_test.go
+++ b/balance/health_check_test.go
@@ -9,19 +9,20 @@
 	"github.com/carawayrack/carawayrack/clock"
 )
 
-var _ = Describe("health checks", func() {
-	unhealthyPool := func() *Pool {
-		p := newPool("a", "a1", "a2")
-		succeed(p, 100, "a1", "a2")
-		p.targets["a1"].inFlight++
-		p.Done(200, "a1", Result{Outcome: Broken, Took: 10})
-		return p
-	}
+// unhealthyPool returns a pool whose target a1 is unhealthy.
+func unhealthyPool() *Pool {
+	p := newPool("a", "a1", "a2")
+	succeed(p, 100, "a1", "a2")
+	p.targets["a1"].inFlight++
+	p.Done(200, "a1", Result{Outcome: Broken, Took: 10})
+	return p
+}
 
+var _ = Describe("health checks", func() {
 	It("are due for an unhealthy target that no request has probed for a while", func() {
 		p := unhealthyPool()
 		Expect(p.DueHealthChecks(1100)).To(BeEmpty())
-		Expect(p.DueHealthChecks(1200)).To(Equal([]HealthCheck{{"a1", "a1:1"}}))
+		Expect(p.DueHealthChecks(1200)).To(Equal([]HealthCheck{{"a1", "a1:1", 1}}))
 		Expect(p.DueHealthChecks(5000)).To(BeEmpty(), "the first check has not ended")
 	})
 
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -21,6 +21,8 @@
 	// OnHealthChange, if set, is called when a target becomes healthy or
 	// unhealthy.
 	OnHealthChange func(now clock.Millis, c HealthChange)
+	// Random, if set, returns a number in [0, n). It spreads the ends of pauses.
+	Random func(n int) int
 
 	// hosts are the IDs of the active hosts of the local zone and of this host;
 	// listed is true if this host is one of the active ones.
@@ -60,6 +62,8 @@
 // Choice is a target that was chosen.
 type Choice struct {
 	ID, Addr, Zone string
+	// Born is the start of the incarnation that was chosen.
+	Born int64
 	// Probe is true if the target is unhealthy, Owned if this host is one of its
 	// owners.
 	Probe, Owned bool
@@ -146,7 +150,7 @@
 
 // usable reports whether a request may be sent to t now.
 func (p *Pool) usable(now clock.Millis, t *target, a Request) bool {
-	if t.misdirected || t.Phase != catalog.Serving || p.evacuated[t.Zone] {
+	if !p.inUse(t) || now < t.pausedUntil {
 		return false
 	}
 	for _, id := range a.Avoid {
@@ -182,7 +186,7 @@
 func (p *Pool) updateAnyHealthy() {
 	p.anyHealthy = false
 	for _, t := range p.order {
-		if t.successesNeeded == 0 && t.Phase == catalog.Serving && !t.misdirected && !p.evacuated[t.Zone] {
+		if t.successesNeeded == 0 && p.inUse(t) {
 			p.anyHealthy = true
 		}
 	}
@@ -203,7 +207,7 @@
 	if t == nil {
 		return Choice{}, false
 	}
-	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Probe: t.successesNeeded > 0, Owned: t.owned, InFlight: t.totalInFlight(now), SinceAccepted: now - t.lastAcceptedAt(now)}
+	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Born: t.Born, Probe: t.successesNeeded > 0, Owned: t.owned, InFlight: t.totalInFlight(now), SinceAccepted: now - t.lastAcceptedAt(now)}
 	t.inFlight++
 	t.changed = true
 	t.starts = append(t.starts, now)
--- a/balance/target.go
+++ b/balance/target.go
@@ -69,6 +69,11 @@
 	// connRefused is true from a refused connection to the next success, which
 	// starts a warm-up: the target was restarted.
 	connRefused bool
+	// leaving is true once the target has said in a response that it leaves.
+	leaving bool
+	// pausedUntil is the end of the time in which the target wants no requests of
+	// this host.
+	pausedUntil clock.Millis
 	// misdirected is true if another target was found at the address.
 	misdirected bool
 	// ranking holds the hosts of the zone in the order of rankHosts, owners the
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -37,6 +37,10 @@
 	// Mismatched reports whether a response belongs to an earlier request on the
 	// connection. Such a response is skipped. It may be nil.
 	Mismatched func(*http.Response) bool
+	// Check, if set, is called once there is a connection, right before the
+	// request is sent. After an error nothing is sent; the error is the cause of
+	// the failure.
+	Check func() error
 	// Unframed accepts responses that end when the connection is closed.
 	Unframed bool
 
@@ -82,6 +86,12 @@
 	if err != nil {
 		return nil, &Failure{Outcome: dialOutcome(err), NotRun: true, Cause: err}
 	}
+	if e.Check != nil {
+		if err := e.Check(); err != nil {
+			e.Pool.put(conn)
+			return nil, &Failure{Outcome: slots.Cancelled, NotRun: true, Cause: err}
+		}
+	}
 	e.conn = conn
 	_ = conn.SetDeadline(e.Deadline)
 	e.writeDone = make(chan error, 1)
--- a/quota/retry.go
+++ b/quota/retry.go
@@ -31,3 +31,6 @@
 	r.level--
 	return true
 }
+
+// Refund returns a retry that was not sent.
+func (r *RetryBudget) Refund() { r.level = min(r.level+1, r.Depth) }
