Send nothing to targets that have said that they leave

Requests of hosts that are out of touch with control processes, or that are faster than these, reached targets that had said in their responses that they leave.

Cause: hosts took departures from control processes only.

Change: the head of each response is read for it. The incarnation gets nothing new from this host, also nothing that was placed before and is not sent yet; such requests go to another target without a retry of the budget, which also gets back retries for which there was no target. A service all of whose targets leave refuses at once.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -31,6 +31,8 @@
 	// settled the call, overdue once the attempt has taken so long that it
 	// counts against the health of its target.
 	superseded, overdue atomic.Bool
+	// charged is true if the attempt was taken from the retry budget.
+	charged bool
 	// If failure is nil, there is a complete response. retryable reports whether
 	// another target may be tried.
 	failure   *refusal
@@ -59,7 +61,7 @@
 	a.exchange = &forward.Exchange{
 		Pool: c.host.targetConns, Addr: a.choice.Addr, Request: c.outgoingRequest(a.choice.ID),
 		Once: !c.idempotent(), Deadline: c.netDeadline(c.deadline + responseMargin),
-		Mismatched: a.forOtherRequest, Unframed: true,
+		Mismatched: a.forOtherRequest, Check: a.checkWanted, Unframed: true,
 	}
 	r, err := a.exchange.Run(a.context)
 	if err != nil {
@@ -72,6 +74,10 @@
 		c.mayHaveRun.Store(true)
 		return a.reject(InvalidResponse{"without the request's ID"})
 	}
+	if r.StatusCode != http.StatusMisdirectedRequest {
+		// The target of a 421 is another one, whose ID is not known.
+		c.host.heed(c.service, a.choice.ID, a.choice.Born, r)
+	}
 	if r.Header.Get(c.host.Headers.NotRun) != "" {
 		a.finish(balance.Shed)
 		return &refusal{TargetsFull, http.StatusServiceUnavailable, retryAfterFull, a.choice.ID + " shed the request"}, true
@@ -93,6 +99,11 @@
 // handleFailure finishes an attempt that got no response.
 func (a *attempt) handleFailure(f *forward.Failure) (*refusal, bool) {
 	c := a.call
+	var leaving balance.TargetLeaving
+	var paused balance.TargetPaused
+	if errors.As(f.Cause, &leaving) || errors.As(f.Cause, &paused) {
+		return a.turnedAway(f.Cause)
+	}
 	if f.NotRun {
 		if f.Outcome == slots.Cancelled {
 			a.finish(a.cancelOutcome())
@@ -172,11 +183,12 @@
 	}
 	a.body = b.bytes
 	o := balance.Served
-	if a.response.StatusCode >= http.StatusInternalServerError {
+	failed := a.response.StatusCode >= http.StatusInternalServerError
+	if failed {
 		o = balance.Failed
 	}
 	a.finish(o)
-	return nil, o == balance.Failed && c.idempotent()
+	return nil, failed && c.idempotent()
 }
 
 // reject finishes an attempt whose response must not be forwarded. It returns
--- a/edge/fleet_view.go
+++ b/edge/fleet_view.go
@@ -143,7 +143,7 @@
 func (v *fleetView) pool(service string) *balance.Pool {
 	p := v.pools[service]
 	if p == nil {
-		p = &balance.Pool{Zone: v.zone, Self: v.self, OnHealthChange: v.logHealthChange}
+		p = &balance.Pool{Zone: v.zone, Self: v.self, OnHealthChange: v.logHealthChange, Random: v.random}
 		p.Run()
 		p.SetHosts(v.localHosts())
 		v.pools[service] = p
--- a/edge/health_check.go
+++ b/edge/health_check.go
@@ -72,6 +72,12 @@
 	return "passed"
 }
 
+// checkWanted is called right before the check is sent: a target that wants a pause
+// gets no checks either.
+func (c *healthCheck) checkWanted() error {
+	return c.host.view.wanted(c.host.Clock.Now(), c.service, balance.Choice{ID: c.target.ID, Born: c.target.Born})
+}
+
 // send sends the check. The error is nil if the target responded in time that it
 // is healthy.
 func (c *healthCheck) send() error {
@@ -83,6 +89,7 @@
 			Header: http.Header{n.ExpectedTarget: {c.target.ID}, "User-Agent": {""}},
 			Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		},
+		Check: c.checkWanted,
 		// Responses to requests repeat the ID of the request.
 		Mismatched: func(r *http.Response) bool { return r.Header.Get(n.RequestID) != "" },
 	}
@@ -91,6 +98,9 @@
 		e.Close()
 		return err
 	}
+	if r.Header.Get(n.Target) == c.target.ID {
+		c.host.heed(c.service, c.target.ID, c.target.Born, r)
+	}
 	k, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxHealthBody))
 	if err == nil && k == maxHealthBody {
 		err = InvalidResponse{"health response too large"}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -11,6 +11,9 @@
 	// responses counts by service and class of status, refusals by reason,
 	// attempts by service and outcome.
 	responses, refusals, attempts *expvar.Map
+	// notices counts by service the responses in which targets said that they leave
+	// or want a pause.
+	notices *expvar.Map
 	// checks counts health checks by service and result.
 	checks *expvar.Map
 	// bytes counts bytes sent: observations as nearEvidence (within the local
@@ -21,12 +24,13 @@
 }
 
 func newMetrics() *metrics {
-	m := &metrics{responses: new(expvar.Map), refusals: new(expvar.Map), attempts: new(expvar.Map), checks: new(expvar.Map), bytes: new(expvar.Map)}
+	m := &metrics{responses: new(expvar.Map), refusals: new(expvar.Map), attempts: new(expvar.Map), checks: new(expvar.Map), notices: new(expvar.Map), bytes: new(expvar.Map)}
 	if expvar.Get("answers") == nil {
 		expvar.Publish("answers", m.responses)
 		expvar.Publish("refusals", m.refusals)
 		expvar.Publish("attempts", m.attempts)
 		expvar.Publish("checks", m.checks)
+		expvar.Publish("notices", m.notices)
 		expvar.Publish("bytes", m.bytes)
 		expvar.Publish("latencyMs", expvar.Func(m.latency.summary))
 	}
--- a/edge/pending_pick.go
+++ b/edge/pending_pick.go
@@ -20,6 +20,10 @@
 	waiter  balance.Waiter
 	// start and deadline bound the wait.
 	start, deadline clock.Millis
+	// closed is true if the request got no target because none accepts requests.
+	// Pause is the time until the first one does, 0 if all are leaving.
+	closed bool
+	pause  clock.Millis
 }
 
 // standingQueueWait is how long a request may wait in a queue that has not been
@@ -81,6 +85,9 @@
 	over = now >= p.deadline
 	if over || q.IsNext(&p.waiter) {
 		x, ok = v.pool(p.service).Pick(now, a)
+		if !ok {
+			over = v.noteClosed(now, p) || over
+		}
 	}
 	switch {
 	case ok || over:
@@ -94,6 +101,13 @@
 	return x, ok, over
 }
 
+// noteClosed notes whether no target accepts requests. It reports whether none will
+// until the deadline of the request; v.mu is held.
+func (v *fleetView) noteClosed(now clock.Millis, p *pendingPick) bool {
+	p.pause, p.closed = v.pool(p.service).Closed(now)
+	return p.closed && (p.pause == 0 || now+p.pause >= p.deadline)
+}
+
 func (v *fleetView) queue(service string) *balance.Queue {
 	q := v.queues[service]
 	if q == nil {
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -22,10 +22,15 @@
 	NoTarget         Reason = "noTarget"
 	TargetsFull      Reason = "targetsFull"
 	OutOfTime        Reason = "outOfTime"
-	TargetFailed     Reason = "targetFailed"
-	CallerLeft       Reason = "callerLeft"
-	Quarantined      Reason = "quarantined"
-	BodyTooLate      Reason = "bodyTooLate"
+	// TargetsLeaving counts requests to a service all of whose targets are leaving,
+	// TargetsPaused those to one whose healthy targets all want no requests for a
+	// while.
+	TargetsLeaving Reason = "targetsLeaving"
+	TargetsPaused  Reason = "targetsPaused"
+	TargetFailed   Reason = "targetFailed"
+	CallerLeft     Reason = "callerLeft"
+	Quarantined    Reason = "quarantined"
+	BodyTooLate    Reason = "bodyTooLate"
 	// MemoryFull counts requests whose responses found no memory; see bodyBudget.
 	MemoryFull Reason = "memoryFull"
 	// Stopping counts requests that reached a leaving host so late that it might
--- a/edge/send.go
+++ b/edge/send.go
@@ -84,27 +84,37 @@
 // hedge returns another attempt to run in parallel with a slow one, or nil if
 // none is allowed or no target has a free slot.
 func (c *call) hedge() *attempt {
-	if !c.idempotent() || !c.mayRetry() {
+	if !c.idempotent() {
 		return nil
 	}
-	b, x := c.newAttempt(nil, true)
+	return c.again(nil, true)
+}
+
+// again returns another attempt if one is allowed and a target has capacity for it,
+// else nil.
+func (c *call) again(after *attempt, hedge bool) *attempt {
+	ok, charged := c.mayRetry()
+	if !ok {
+		return nil
+	}
+	b, x := c.newAttempt(after, hedge)
 	if x != nil {
+		if charged {
+			c.host.view.refundRetry(c.service)
+		}
 		return nil
 	}
+	b.charged = charged
 	return b
 }
 
 // retry returns another attempt after a failed one, or nil if none is allowed or
 // no target has capacity.
 func (c *call) retry(after *attempt) *attempt {
-	if !after.retryable || !c.mayRetry() {
-		return nil
-	}
-	b, x := c.newAttempt(after, false)
-	if x != nil {
+	if !after.retryable {
 		return nil
 	}
-	return b
+	return c.again(after, false)
 }
 
 func without(l []*attempt, a *attempt) []*attempt {
@@ -144,17 +154,25 @@
 }
 
 // mayRetry reports whether another attempt is allowed, and takes it from the
-// retry budget. Attempts that sent nothing to their targets do not count: while
-// there are no others, the budget is not used.
-func (c *call) mayRetry() bool {
+// retry budget, which charged reports. Attempts that sent nothing to their targets
+// do not count: while there are no others, the budget is not used. Nor is it used
+// while no target accepts requests.
+func (c *call) mayRetry() (ok, charged bool) {
 	if c.context.Err() != nil || c.remaining() <= 0 || !c.replayable() {
-		return false
+		return false, false
 	}
 	unsent := int(c.unsent.Load())
 	if c.attempts-unsent >= max(c.route.Attempts, 1) || c.attempts >= maxAttempts {
-		return false
+		return false, false
+	}
+	if c.host.view.closed(c.host.Clock.Now(), c.service) {
+		return false, false
 	}
-	return c.attempts == unsent || c.host.view.takeRetry(c.service)
+	if c.attempts == unsent {
+		return true, false
+	}
+	ok = c.host.view.takeRetry(c.service)
+	return ok, ok
 }
 
 // newAttempt picks a target and returns an attempt to send the request to it. If
@@ -173,14 +191,18 @@
 		Avoid:        c.tried,
 		FreeSlotOnly: hedge,
 	}
-	h, ok := c.host.waitForTarget(c.context, &pendingPick{
+	p := &pendingPick{
 		service: c.service, request: request, waiter: balance.Waiter{Priority: c.priority(), Since: c.start},
 		start: now, deadline: until,
-	})
+	}
+	h, ok := c.host.waitForTarget(c.context, p)
 	now = c.host.Clock.Now()
 	if !ok && last != nil {
 		return nil, last.refusal()
 	}
+	if !ok && p.closed {
+		return nil, c.closedRefusal(p.pause)
+	}
 	if !ok {
 		return nil, &refusal{TargetsFull, http.StatusServiceUnavailable, retryAfterFull, "service " + c.service}
 	}
@@ -193,6 +215,16 @@
 	return a, nil
 }
 
+// closedRefusal returns the refusal of a request to a service none of whose targets
+// accepts requests. Pause is the time until the first one does, 0 if all are
+// leaving.
+func (c *call) closedRefusal(pause clock.Millis) *refusal {
+	if pause > 0 {
+		return &refusal{TargetsPaused, http.StatusServiceUnavailable, pause, "service " + c.service}
+	}
+	return &refusal{TargetsLeaving, http.StatusServiceUnavailable, retryAfterFull, "service " + c.service}
+}
+
 // maxQueueWait returns how long the request may wait in the queue: at most 3/4
 // of its objective, and only so long that a target can still respond before the
 // deadline, but at least minQueueWait.
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -60,6 +60,9 @@
 	// Load holds the load of a target as "running,waiting,slots", WarmUp the
 	// remaining time of its warm-up in milliseconds.
 	Load, WarmUp string
+	// Leaving marks responses of targets that want no new requests since they
+	// leave.
+	Leaving string
 	// Target holds the ID of the target that responds to a health check.
 	Target string
 }
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -26,7 +26,7 @@
 var testHeaders = Headers{
 	RequestID: "Req-Id", Deadline: "Left", Key: "Key", Account: "Account", ExpectedTarget: "Expect-Id",
 	NotRun: "Not-Run", Seal: "Seal", Load: "Load", WarmUp: "Cold",
-	Target: "Target-Id",
+	Leaving: "Leaving", Target: "Target-Id",
 }
 
 // standin is a target that responds as a test specifies.
@@ -244,6 +244,18 @@
 	header http.Header
 }
 
+// requestTo returns a request of a caller as the host reads it.
+func requestTo(w *testHost, path string) (*http.Request, error) {
+	q, err := http.NewRequest(http.MethodPost, w.server.URL+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	q.Host, q.RequestURI = "h", path
+	q.Header.Set("Req-Id", "r1")
+	q.Header.Set("Key", "k1")
+	return q, nil
+}
+
 func (w *testHost) call(method, path, body string, header ...string) (response, error) {
 	q, err := http.NewRequest(method, w.server.URL+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
--- a/explain/request.go
+++ b/explain/request.go
@@ -37,7 +37,7 @@
 
 // contextEvents are the events that may affect the outcome of any request.
 var contextEvents = map[string]bool{
-	"role": true, "configuration": true, "exchange failed": true, "quarantined": true, "started": true, "signal": true, "stopped": true,
+	"role": true, "configuration": true, "exchange failed": true, "quarantined": true, "notice": true, "started": true, "signal": true, "stopped": true,
 }
 
 // Read parses the lines of a log as logs.NewStream writes them. It skips lines
--- a/explain/request_test.go
+++ b/explain/request_test.go
@@ -22,6 +22,7 @@
 {"ts":1090,"msg":"attempt","request":"r2","target":"t1","outcome":"broken"}
 {"ts":1101,"msg":"refused","request":"r1","reason":"targetFailed","tried":["t1","t2"]}
 {"ts":1050,"msg":"trust","target":"t2","trusted":true}
+{"ts":1095,"msg":"notice","target":"t3","service":"s","leaving":true}
 {"ts":9000,"msg":"trust","target":"t1","trusted":true}
 {broken`
 
@@ -36,7 +37,7 @@
 			t, _ := x.Fields["target"].(string)
 			got = append(got, strings.TrimSpace(x.Event+" "+t))
 		}
-		Expect(got).To(Equal([]string{"role", "trust t1", "trust t2", "attempt t1", "refused"}))
+		Expect(got).To(Equal([]string{"role", "trust t1", "trust t2", "notice t3", "attempt t1", "refused"}))
 		Expect(r[0].Source).To(Equal("host-1"))
 	})
 
