Heed targets that ask for a pause

A target that turns a request away with 503 and Retry-After got further requests of the same host after 150 ms, and callers were told to return after 0.3 s although no target wanted them.

Cause: Retry-After of targets was not read.

Change: the pause is kept for each host and target, and looked at again right before a request is sent. It changes nothing about the target's health.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -33,6 +33,8 @@
 	superseded, overdue atomic.Bool
 	// charged is true if the attempt was taken from the retry budget.
 	charged bool
+	// notice is what the target has said of itself in the response.
+	notice balance.Notice
 	// If failure is nil, there is a complete response. retryable reports whether
 	// another target may be tried.
 	failure   *refusal
@@ -76,7 +78,7 @@
 	}
 	if r.StatusCode != http.StatusMisdirectedRequest {
 		// The target of a 421 is another one, whose ID is not known.
-		c.host.heed(c.service, a.choice.ID, a.choice.Born, r)
+		a.notice = c.host.heed(c.service, a.choice.ID, a.choice.Born, r)
 	}
 	if r.Header.Get(c.host.Headers.NotRun) != "" {
 		a.finish(balance.Shed)
@@ -185,7 +187,7 @@
 	o := balance.Served
 	failed := a.response.StatusCode >= http.StatusInternalServerError
 	if failed {
-		o = balance.Failed
+		o = a.failedOutcome(balance.Failed)
 	}
 	a.finish(o)
 	return nil, failed && c.idempotent()
@@ -203,10 +205,19 @@
 		a.finish(balance.Cancelled)
 		return &refusal{MemoryFull, http.StatusBadGateway, 0, err.Error()}, false
 	}
-	a.finish(balance.Broken)
+	a.finish(a.failedOutcome(balance.Broken))
 	return &refusal{TargetFailed, http.StatusBadGateway, 0, err.Error()}, a.call.idempotent()
 }
 
+// failedOutcome returns Shed instead of o if the target has asked for a pause, which
+// is no sign of ill health.
+func (a *attempt) failedOutcome(o balance.Outcome) balance.Outcome {
+	if a.notice.Pause > 0 {
+		return balance.Shed
+	}
+	return o
+}
+
 // validate checks that the response may be forwarded as the target's response to
 // this request. The error is InvalidResponse.
 func (a *attempt) validate() error {
--- a/edge/notice.go
+++ b/edge/notice.go
@@ -1,19 +1,44 @@
 package edge
 
 import (
+	"math"
 	"net/http"
+	"strconv"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 )
 
+// maxPause bounds the pause that a target may ask for.
+const maxPause = 60 * 60 * clock.Second
+
+// parseRetryAfter parses a Retry-After header in seconds, which may have decimals.
+// Like an absent header, one that is negative or not a finite number asks for
+// nothing; so does a date, which the platform does not use. More than maxPause
+// counts as maxPause.
+func parseRetryAfter(s string) clock.Millis {
+	f, err := strconv.ParseFloat(s, 64)
+	if errors.Is(err, strconv.ErrRange) && f > 0 {
+		return maxPause
+	}
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f <= 0 {
+		return 0
+	}
+	f = math.Ceil(f * float64(clock.Second))
+	return clock.Millis(min(f, float64(maxPause)))
+}
+
 // parseNotice returns what the head of a response says of its target.
 func (h *Host) parseNotice(r *http.Response) balance.Notice {
 	var n balance.Notice
 	v := r.Header.Get(h.Headers.Leaving)
 	n.Leaving = v != "" && v != "0"
+	if r.StatusCode == http.StatusServiceUnavailable {
+		n.Pause = parseRetryAfter(r.Header.Get("Retry-After"))
+	}
 	return n
 }
 
@@ -27,6 +52,9 @@
 	if n.Leaving {
 		h.metrics.notices.Add(service+".leaving", 1)
 	}
+	if n.Pause > 0 {
+		h.metrics.notices.Add(service+".pause", 1)
+	}
 	if h.view.heed(h.Clock.Now(), service, id, born, n) {
 		h.Log.Info("notice", zap.String("target", id), zap.String("service", service), zap.Bool("leaving", n.Leaving),
 			zap.Int64("pauseMs", int64(n.Pause)), zap.Int("status", r.StatusCode))
--- a/edge/notice_load_test.go
+++ b/edge/notice_load_test.go
@@ -23,6 +23,9 @@
 	// noticeDrain is the time after a host has got a response that says that its
 	// target leaves, from which on no request of the host may reach the target.
 	noticeDrain = 2000 * clock.Millis(1)
+	// noticeGrace is the time after a response with Retry-After from which on no
+	// request of the host may reach the target until the pause is over.
+	noticeGrace = 500 * clock.Millis(1)
 )
 
 // noticeTarget is a target with a bounded queue.
@@ -30,11 +33,17 @@
 	id      string
 	running int
 	leaving bool
-	// told holds, by host, when the host got a response that says that the target
-	// leaves.
-	told map[int]clock.Millis
+	// pause is the pause that the target asks for with each request that it turns
+	// away, 0 for none.
+	pause clock.Millis
+	// told and pausedBy hold, by host, when the host got a response that says that
+	// the target leaves, and the pause that it got last.
+	told     map[int]clock.Millis
+	pausedBy map[int]simulatedPause
 }
 
+type simulatedPause struct{ from, until clock.Millis }
+
 // arrival is the end of a request at a target.
 type arrival struct {
 	host   int
@@ -70,7 +79,7 @@
 	s := &noticeSimulation{heed: heed, r: rand.New(rand.NewSource(seed)), targets: map[string]*noticeTarget{}, ends: map[clock.Millis][]arrival{}}
 	for k := range noticeTargets {
 		id := fmt.Sprintf("t%02d", k)
-		s.targets[id] = &noticeTarget{id: id, told: map[int]clock.Millis{}}
+		s.targets[id] = &noticeTarget{id: id, told: map[int]clock.Millis{}, pausedBy: map[int]simulatedPause{}}
 	}
 	var fleet coordinator.Fleet
 	for h := range noticeHosts {
@@ -168,6 +177,9 @@
 	if at, ok := t.told[host]; ok && now > at+noticeDrain {
 		s.against++
 	}
+	if p, ok := t.pausedBy[host]; ok && now > p.from+noticeGrace && now < p.until {
+		s.against++
+	}
 	a := arrival{host: host, target: t, call: c, shed: t.running >= noticeSlots+1}
 	took := clock.Millis(2)
 	if !a.shed {
@@ -192,6 +204,10 @@
 	r := balance.Result{Outcome: balance.Served, Took: noticeWork}
 	if a.shed {
 		r = balance.Result{Outcome: balance.Shed, Took: 2}
+		n.Pause = t.pause
+		if t.pause > 0 {
+			t.pausedBy[a.host] = simulatedPause{now, now + t.pause}
+		}
 	} else {
 		t.running--
 	}
@@ -249,4 +265,26 @@
 		Expect(with.against).To(BeZero())
 		Expect(with.served).To(BeNumerically(">=", without.served*98/100))
 	})
+
+	// All targets ask for pauses of 0.5 to 5 s while 60 % more requests arrive than
+	// they can serve.
+	overload := func(heed bool) *noticeSimulation {
+		s := newNoticeSimulation(9, heed)
+		for k := range noticeTargets {
+			s.targets[fmt.Sprintf("t%02d", k)].pause = clock.Millis(500 + 4500*k/(noticeTargets-1))
+		}
+		for now := clock.Millis(1); now < 20_000; now++ {
+			s.step(now, 960)
+		}
+		return s
+	}
+
+	It("send nothing to targets that want a pause, and refuse at once what no target accepts", func() {
+		without, with := overload(false), overload(true)
+		GinkgoWriter.Println("not heeded:", without, "\nheeded:", with)
+		Expect(without.against).To(BeNumerically(">", 0))
+		Expect(with.against).To(BeZero())
+		Expect(with.again).To(BeNumerically("<", without.again))
+		Expect(with.refusedAfter).To(BeNumerically("<=", noticeLimit*3/8+repickInterval))
+	})
 })
