Soak: check what targets say of themselves

The targets of the soak say in their responses that they leave, and turn all requests away with Retry-After for 1 to 3 s at random times. The ledger knows by which host each request went, and reports requests that reached a target after their host had passed on that it leaves, and more than two in a pause. Faults of the host or the target excuse them.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -84,7 +84,8 @@
 	}
 	x, stop := context.WithTimeout(context.Background(), callTimeout)
 	defer stop()
-	u := "http://" + c.addresses[r.Intn(len(c.addresses))] + path + id
+	addr := c.addresses[r.Intn(len(c.addresses))]
+	u := "http://" + addr + path + id
 	q, err := http.NewRequestWithContext(x, method, u, strings.NewReader(body))
 	if err != nil {
 		c.ledger.violate("soak", "%v", err)
@@ -97,7 +98,7 @@
 	q.Header.Set(h.RequestID, id)
 	q.Header.Set(h.Key, key)
 	q.Header.Set(h.Deadline, fmt.Sprint(callTimeout.Milliseconds()))
-	c.ledger.send(id, unsafe, key)
+	c.ledger.send(id, addr, unsafe, key)
 	c.sent.Add(1)
 	a, err := c.http.Do(q)
 	if err != nil {
@@ -109,6 +110,9 @@
 		return
 	}
 	c.ledger.setStatus(id, a.StatusCode)
+	if a.Header.Get(h.Leaving) != "" {
+		c.ledger.tellLeaving(id, a.Header.Get(targetHeader))
+	}
 	if a.StatusCode != http.StatusOK {
 		return
 	}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -35,19 +35,26 @@
 	{"reload a host", 1, false, func(s *Soak, k int, _ time.Duration) { s.edges[k%edges].Signal(syscall.SIGHUP) }},
 	{"cut a target off one way", 3, false, func(s *Soak, k int, d time.Duration) {
 		t := s.anyTarget(k)
+		defer s.disturbing(t.spec.ID)()
 		t.proxy.Cut(k%2 == 0, k%2 == 1)
 		time.Sleep(d)
 		t.proxy.Cut(false, false)
 	}},
-	{"silence connections of a target", 2, false, func(s *Soak, k int, _ time.Duration) { s.anyTarget(k).proxy.SilenceOpen() }},
+	{"silence connections of a target", 2, false, func(s *Soak, k int, _ time.Duration) {
+		t := s.anyTarget(k)
+		s.ledger.disturb(t.spec.ID)
+		t.proxy.SilenceOpen()
+	}},
 	{"delay a target", 2, false, func(s *Soak, k int, d time.Duration) {
 		t := s.anyTarget(k)
+		defer s.disturbing(t.spec.ID)()
 		t.proxy.Delay(clock.Millis(50 + k%250))
 		time.Sleep(d)
 		t.proxy.Delay(0)
 	}},
 	{"make a target gray", 4, false, func(s *Soak, k int, d time.Duration) {
 		t := s.anyTarget(k)
+		defer s.disturbing(t.spec.ID)()
 		t.gray.Store(true)
 		time.Sleep(d)
 		t.gray.Store(false)
@@ -101,11 +108,19 @@
 	f.run(s, pick, hold)
 }
 
+// disturbing records that a fault of a host or a target begins. The function that it
+// returns records that it ends.
+func (s *Soak) disturbing(name string) func() {
+	s.ledger.disturb(name)
+	return func() { s.ledger.disturb(name) }
+}
+
 // restart kills a process, calls change unless it is nil, and starts the process
 // again after d.
 func (s *Soak) restart(p *Process, d time.Duration, change func() error) {
 	p.busy.Lock()
 	defer p.busy.Unlock()
+	defer s.disturbing(p.Node.Callers())()
 	p.Kill()
 	if change != nil {
 		if err := change(); err != nil {
@@ -125,6 +140,7 @@
 func (s *Soak) freeze(p *Process, d time.Duration) {
 	p.busy.Lock()
 	defer p.busy.Unlock()
+	defer s.disturbing(p.Node.Callers())()
 	p.Signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	p.Signal(syscall.SIGCONT)
@@ -133,6 +149,7 @@
 func (s *Soak) stopHost(p *Process, d time.Duration) {
 	p.busy.Lock()
 	defer p.busy.Unlock()
+	defer s.disturbing(p.Node.Callers())()
 	p.Stop()
 	time.Sleep(d)
 	s.startProcess(p)
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -31,6 +31,10 @@
 	// quotaTolerance (a share of the quota) and quotaSlack (in requests) are
 	// allowed beyond the quota.
 	quotaTolerance, quotaSlack = 0.1, 20
+	// A pause binds pauseAfter after the target has asked for it; pauseArrivals
+	// requests may reach the target until its end.
+	pauseAfter    = 500 * clock.Millis(1)
+	pauseArrivals = 2
 )
 
 // execution is one execution of a request by a target.
@@ -44,11 +48,27 @@
 // response completely.
 type sent struct {
 	at     clock.Millis
+	host   string
 	unsafe bool
 	key    string
 	status int
 }
 
+// arrival is a request that reached a target.
+type arrival struct {
+	at clock.Millis
+	id string
+}
+
+// link is the connection between a host and a target.
+type link struct{ host, target string }
+
+// pause is a time in which a target wants no requests of a host.
+type pause struct {
+	link
+	from, until clock.Millis
+}
+
 // Ledger records what callers, targets and operators observed, and checks it
 // against the promises.
 type Ledger struct {
@@ -58,8 +78,15 @@
 	// sent and executions are by request ID, arrived and left by target ID.
 	sent       map[string]*sent
 	executions map[string][]execution
-	arrived    map[string][]clock.Millis
+	arrived    map[string][]arrival
 	left       map[string]clock.Millis
+	// told holds when a caller first got a response by way of a host in which the
+	// target said that it leaves.
+	told   map[link]clock.Millis
+	pauses []pause
+	// disturbed holds, by the address of a host or the ID of a target, when a fault
+	// of it began or ended.
+	disturbed map[string][]clock.Millis
 	// withdrawn holds the keys that newer configurations leave out, revoked the
 	// times at which a control process acknowledged a configuration without
 	// the key.
@@ -74,7 +101,8 @@
 	start := time.Now()
 	return &Ledger{
 		now:  func() clock.Millis { return clock.FromDuration(time.Since(start)) },
-		sent: map[string]*sent{}, executions: map[string][]execution{}, arrived: map[string][]clock.Millis{},
+		sent: map[string]*sent{}, executions: map[string][]execution{}, arrived: map[string][]arrival{},
+		told: map[link]clock.Millis{}, disturbed: map[string][]clock.Millis{},
 		left: map[string]clock.Millis{}, revoked: map[string]clock.Millis{}, withdrawn: map[string]bool{},
 	}
 }
@@ -85,10 +113,49 @@
 	l.violations = append(l.violations, Violation{promise, fmt.Sprintf(form, args...), l.now()})
 }
 
-func (l *Ledger) send(id string, unsafe bool, key string) {
+func (l *Ledger) send(id, host string, unsafe bool, key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[id] = &sent{at: l.now(), host: host, unsafe: unsafe, key: key}
+}
+
+// tellLeaving records that a caller got the response to a request in which a target
+// says that it leaves.
+func (l *Ledger) tellLeaving(id, target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := link{l.sent[id].host, target}
+	if _, ok := l.told[k]; !ok {
+		l.told[k] = l.now()
+	}
+}
+
+// askForPause records that a target has turned a request away and wants none of its
+// host for some time.
+func (l *Ledger) askForPause(id, target string, d clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if x := l.sent[id]; x != nil {
+		l.pauses = append(l.pauses, pause{link{x.host, target}, l.now(), l.now() + d})
+	}
+}
+
+// disturb records that a fault of a host or a target begins or ends.
+func (l *Ledger) disturb(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sent[id] = &sent{at: l.now(), unsafe: unsafe, key: key}
+	l.disturbed[name] = append(l.disturbed[name], l.now())
+}
+
+// calm reports whether no fault of a host or target began or ended in a time; the
+// caller holds mu.
+func (l *Ledger) calm(name string, from, to clock.Millis) bool {
+	for _, at := range l.disturbed[name] {
+		if at >= from && at <= to {
+			return false
+		}
+	}
+	return true
 }
 
 // setStatus records the status of a response that a caller read completely.
@@ -106,10 +173,10 @@
 
 // arrive records a request that reached the target it was meant for, executed or
 // not.
-func (l *Ledger) arrive(target string) {
+func (l *Ledger) arrive(target, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.arrived[target] = append(l.arrived[target], l.now())
+	l.arrived[target] = append(l.arrived[target], arrival{l.now(), id})
 }
 
 // leave records that a control process acknowledged a target's departure.
@@ -169,8 +236,8 @@
 	}
 	for t, at := range l.left {
 		for _, x := range l.arrived[t] {
-			if x > at+drainWithin && l.undisturbed(at, x) {
-				r = append(r, Violation{"drain", fmt.Sprintf("a request reached %s %d ms after it left", t, x-at), x})
+			if x.at > at+drainWithin && l.undisturbed(at, x.at) {
+				r = append(r, Violation{"drain", fmt.Sprintf("a request reached %s %d ms after it left", t, x.at-at), x.at})
 			}
 		}
 	}
@@ -179,11 +246,43 @@
 			r = append(r, Violation{"unasked", "request " + id + " was never sent", x[0].at})
 		}
 	}
+	r = append(r, l.checkNotices()...)
 	r = append(r, l.checkQuota()...)
 	sort.Slice(r, func(i, j int) bool { return r[i].At < r[j].At })
 	return r
 }
 
+// checkNotices returns the requests that reached a target although their host had
+// passed on its word that it leaves, and the pauses in which too many did.
+func (l *Ledger) checkNotices() []Violation {
+	var r []Violation
+	for t, a := range l.arrived {
+		for _, x := range a {
+			s := l.sent[x.id]
+			if s == nil {
+				continue
+			}
+			at, ok := l.told[link{s.host, t}]
+			if ok && s.at > at+drainWithin && l.calm(s.host, at, x.at) {
+				r = append(r, Violation{"leaving", fmt.Sprintf("request %s reached %s %d ms after %s had passed on that it leaves", x.id, t, x.at-at, s.host), x.at})
+			}
+		}
+	}
+	for _, p := range l.pauses {
+		n := 0
+		for _, x := range l.arrived[p.target] {
+			if s := l.sent[x.id]; s != nil && s.host == p.host && x.at > p.from+pauseAfter && x.at < p.until {
+				n++
+			}
+		}
+		// The response may not have reached the host.
+		if n > pauseArrivals && l.calm(p.host, p.from-pauseAfter, p.until) && l.calm(p.target, p.from-pauseAfter, p.until) {
+			r = append(r, Violation{"pause", fmt.Sprintf("%d requests of %s reached %s, which wanted none for %d ms", n, p.host, p.target, p.until-p.from), p.until})
+		}
+	}
+	return r
+}
+
 func (l *Ledger) checkRequest(id string, s *sent) []Violation {
 	var r []Violation
 	x := l.executions[id]
--- a/soak/target.go
+++ b/soak/target.go
@@ -5,12 +5,14 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/faultproxy"
 	"github.com/carawayrack/carawayrack/platform"
 )
@@ -25,6 +27,13 @@
 	// acknowledged its departure. It is longer than drainWithin, so that late
 	// requests are recorded.
 	serveAfter = 3 * time.Second
+	// targetHeader holds the ID of the target in its responses.
+	targetHeader = "Soak-Target"
+	// A target begins with one of busyEvery requests a time in which it turns all
+	// away and asks for a pause until its end: minBusy to maxBusy.
+	busyEvery = 150
+	minBusy   = 1 * clock.Second
+	maxBusy   = 3 * clock.Second
 )
 
 // target is a stand-in target behind a fault proxy.
@@ -41,7 +50,10 @@
 	// some after their execution.
 	gray    atomic.Bool
 	leaving atomic.Bool
-	stopped chan struct{}
+	// busyUntil is the end of the time in which the target turns all requests away,
+	// by the clock of the ledger.
+	busyUntil atomic.Int64
+	stopped   chan struct{}
 }
 
 func (t *target) start() error {
@@ -111,15 +123,22 @@
 	h := platform.Headers()
 	id := r.Header.Get(h.RequestID)
 	w.Header().Set(h.RequestID, id)
+	w.Header().Set(targetHeader, t.spec.ID)
+	if t.leaving.Load() {
+		w.Header().Set(h.Leaving, "1")
+	}
 	if r.Header.Get(h.ExpectedTarget) != t.spec.ID {
 		w.Header().Set(h.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	t.ledger.arrive(t.spec.ID)
+	t.ledger.arrive(t.spec.ID, id)
 	if r.Header.Get(h.Key) != "" {
 		t.ledger.violate("key", "request %s reached a target with the caller's key", id)
 	}
+	if t.askForPause(w, id) {
+		return
+	}
 	if t.running.Add(1) > targetSlots {
 		t.running.Add(-1)
 		w.Header().Set(h.NotRun, "1")
@@ -146,5 +165,24 @@
 	_, _ = fmt.Fprint(w, bodyOf(id))
 }
 
+// askForPause turns a request away while the target is busy, which begins at random.
+// It reports whether it did.
+func (t *target) askForPause(w http.ResponseWriter, id string) bool {
+	now := t.ledger.now()
+	if rand.Intn(busyEvery) == 0 {
+		t.busyUntil.CompareAndSwap(0, int64(now+minBusy)+rand.Int63n(int64(maxBusy-minBusy)))
+	}
+	left := clock.Millis(t.busyUntil.Load()) - now
+	if left <= 0 {
+		t.busyUntil.Store(0)
+		return false
+	}
+	w.Header().Set(platform.Headers().NotRun, "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(float64(left)/float64(clock.Second), 'f', 3, 64))
+	t.ledger.askForPause(id, t.spec.ID, left)
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // bodyOf returns the body of the response to a request.
 func bodyOf(id string) string { return "answer to " + id }
