Put a first configuration with version 0 in force

Operators got an acknowledgement for a first configuration r0, which was never in force and could not be read back.

Cause: a state without a document has version 0, and only higher versions came into force. The history of documents took version 0 for no document.

Change: a first document comes into force whatever its version.

Evidence: the new specs of catalog and coordinator ("version 0") failed before.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -59,6 +59,22 @@
 		Expect(parses).To(Equal(1))
 	})
 
+	// Guards against a first configuration that is acknowledged and never in force.
+	It("takes a first document with version 0", func() {
+		s := New(translate)
+		Expect(s.Apply(document(0))).To(Succeed())
+		changed, err := s.UpdateConfig()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changed).To(BeTrue())
+		Expect(Decompress(s.Document)).To(Equal([]byte("0")))
+		other := document(9)
+		other.Version = 0
+		Expect(s.Apply(other)).To(Succeed())
+		Expect(Decompress(s.Document)).To(Equal([]byte("0")))
+		Expect(s.Apply(document(1))).To(Succeed())
+		Expect(s.Version).To(Equal(uint64(1)))
+	})
+
 	It("keeps the first document of a version when another has the same version", func() {
 		s := New(translate)
 		Expect(s.Apply(document(7))).To(Succeed())
--- a/catalog/state.go
+++ b/catalog/state.go
@@ -59,7 +59,7 @@
 		c.Document = b
 	}
 	s.Sequence++
-	if c.Document != nil && c.Version > s.Version {
+	if c.Document != nil && (c.Version > s.Version || s.Document == nil) {
 		s.Version, s.Document, s.configStale = c.Version, c.Document, true
 	}
 	if c.Evacuate != "" && s.orderZone(c.Evacuate, c.Revision) {
--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -203,6 +203,19 @@
 		}
 	})
 
+	// Guards against a first configuration that is acknowledged and never in force.
+	It("put a first configuration with version 0 in force", func() {
+		c := newCluster(3)
+		c.configure(0, 0)
+		for i := range c.nodes {
+			c.waitForVersion(i, 0)
+		}
+		r := exchangeAsHost(c.addrs[2], ExchangeArgs{Host: Host{ID: "h1", Zone: "z2", Callers: "c", Peer: "p"}})
+		s, err := catalog.DecodeCompressed(r.Update.State, translate)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Config).NotTo(BeNil())
+	})
+
 	It("reject a document that cannot be parsed", func() {
 		c := newCluster(1)
 		c.configure(0, 1)
--- a/coordinator/documents.go
+++ b/coordinator/documents.go
@@ -94,7 +94,7 @@
 // force, -1 if there is none.
 func lastDocument(l []appliedChange) int {
 	for i := len(l) - 1; i >= 0; i-- {
-		if l[i].Version > 0 {
+		if l[i].InForce {
 			return i
 		}
 	}
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -62,12 +62,12 @@
 }
 
 // appliedChange is an encoded change with the sequence of the state after it.
-// Rest is the same without a document; Version is that of the document if it came
-// into force, else zero.
+// Rest is the same without a document; InForce is true if its document came into
+// force.
 type appliedChange struct {
 	Sequence   uint64
 	Data, Rest []byte
-	Version    uint64
+	InForce    bool
 }
 
 // pendingProposal waits for an entry of the log to be committed. Term is the
@@ -262,7 +262,7 @@
 	if e.Data == nil {
 		return false
 	}
-	before := r.state.Version
+	before, first := r.state.Version, r.state.Document == nil
 	c, err := catalog.DecodeChange(e.Data)
 	if err == nil {
 		err = r.state.Apply(c)
@@ -277,8 +277,8 @@
 	if c.Document != nil {
 		x.Rest = withoutDocument(c)
 	}
-	if r.state.Version != before {
-		x.Version = r.state.Version
+	if r.state.Version != before || first && r.state.Document != nil {
+		x.InForce = true
 		r.documents.add(document{r.state.Sequence, r.state.Version, r.state.Document})
 	}
 	r.recentChanges = append(r.recentChanges, x)
