Forget when requests were sent to warm targets

A host kept the time of each request to a warm target, 8 bytes each, for ever.

Cause: only the count for cold targets removed old times.

Change: each new request removes the times before the last second, except for the last of them, which tells that a request in flight was accepted.

Evidence: the spec "remembers the requests of the last second and the last one before" found 10,000 times of 10,000 requests before, 102 at most now.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -210,7 +210,7 @@
 	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Born: t.Born, Probe: t.successesNeeded > 0, Owned: t.owned, InFlight: t.totalInFlight(now), SinceAccepted: now - t.lastAcceptedAt(now)}
 	t.inFlight++
 	t.changed = true
-	t.starts = append(t.starts, now)
+	t.start(now)
 	if t.successesNeeded > 0 {
 		t.probing = true
 		t.probeAt = now + minProbePause
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -64,6 +64,25 @@
 		Expect(c.ID).To(Equal("a2"))
 	})
 
+	// Guards against memory that grows with each request to a warm target.
+	It("remembers the requests of the last second and the last one before", func() {
+		p := newPool("a", "a1")
+		for now := clock.Millis(0); now < 100_000; now += 10 {
+			c, ok := p.Pick(now, unsafe)
+			Expect(ok).To(BeTrue())
+			p.Done(now+1, c.ID, Result{Outcome: Served, Took: 1})
+		}
+		t := p.targets["a1"]
+		Expect(len(t.starts)).To(BeNumerically("<=", 102))
+		Expect(t.startedLastSecond(99_990)).To(Equal(100))
+		Expect(t.startedLastSecond(100_500)).To(Equal(49))
+		Expect(t.startedLastSecond(200_000)).To(BeZero())
+		// A request that is still in flight counts as accepted, however old.
+		c, _ := p.Pick(200_000, unsafe)
+		Expect(c.ID).To(Equal("a1"))
+		Expect(t.lastAcceptedAt(250_000)).To(Equal(clock.Millis(200_000)))
+	})
+
 	It("sends an idempotent request to the target with the oldest observation", func() {
 		p := newPool("a", "a1", "a2", "a3")
 		succeed(p, 500, "a1", "a3")
--- a/balance/target.go
+++ b/balance/target.go
@@ -80,8 +80,8 @@
 	// first of them; owned is true if this host is one of the owners.
 	ranking, owners []string
 	owned           bool
-	// starts holds the times at which this host sent requests. Only
-	// startedLastSecond removes old ones.
+	// starts holds the times at which this host sent requests in the last second, and
+	// the last one before.
 	starts []clock.Millis
 	// changed is true if the target changed after the last call of TakeChanges.
 	changed bool
@@ -122,15 +122,26 @@
 
 func (t *target) cold(now clock.Millis) bool { return now < t.coldUntil }
 
+// start records that a request is sent.
+func (t *target) start(now clock.Millis) {
+	k := 0
+	for k+1 < len(t.starts) && now-t.starts[k+1] >= clock.Second {
+		k++
+	}
+	t.starts = append(t.starts[k:], now)
+}
+
 // startedLastSecond returns the number of requests that this host sent to the
 // target in the last second.
 func (t *target) startedLastSecond(now clock.Millis) int {
-	k := 0
-	for k < len(t.starts) && now-t.starts[k] >= clock.Second {
-		k++
+	n := len(t.starts)
+	if n > 0 && now-t.starts[0] >= clock.Second {
+		n--
 	}
-	t.starts = t.starts[k:]
-	return len(t.starts)
+	for k := len(t.starts) - n; n > 0 && now-t.starts[k] >= clock.Second; k++ {
+		n--
+	}
+	return n
 }
 
 // recordSuccess records a success of a request that was sent at sentAt. It does
