Refuse configurations with numbers out of bounds

Cause: the sum of the weights overflowed, and drawing from an empty range panicked while the mutex of the view was held.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"math"
 	"strconv"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -264,6 +265,17 @@
 		Entry("unknown service", func(c *Config) { c.Routes[0].Parts[0].Service = "u" }),
 		Entry("no weight", func(c *Config) { c.Routes[0].Parts[0].Weight = 0 }),
 		Entry("negative weight", func(c *Config) { c.Routes[0].Parts[0].Weight = -1 }),
+		Entry("a weight whose sum with others overflows", func(c *Config) {
+			c.Routes[0].Parts = []Part{{c.Services[0].Name, math.MaxInt}, {c.Services[0].Name, 1}}
+		}),
+		Entry("a timeout of centuries", func(c *Config) { c.Routes[0].Timeout = math.MaxInt64 }),
+		Entry("a negative objective", func(c *Config) { c.Routes[0].Objective = -1 }),
+		Entry("a negative rate", func(c *Config) { c.Accounts[0].Rate = -1 }),
+		Entry("a rate without end", func(c *Config) { c.Accounts[0].Rate = math.Inf(1) }),
+		Entry("a rate that is not a number", func(c *Config) { c.Accounts[0].Rate = math.NaN() }),
+		Entry("a negative burst", func(c *Config) { c.Accounts[0].Burst = -1 }),
+		Entry("a warm-up rate that is too large", func(c *Config) { c.Services[0].WarmUpRate = 1e300 }),
+		Entry("a negative warm-up", func(c *Config) { c.Services[0].WarmUp = -1 }),
 		Entry("no parts", func(c *Config) { c.Routes[0].Parts = nil }),
 		Entry("prefix without a leading slash", func(c *Config) { c.Routes[0].Prefix = "a/" }),
 		Entry("no prefix", func(c *Config) { c.Routes[0].Prefix = "" }),
--- a/catalog/validate.go
+++ b/catalog/validate.go
@@ -1,6 +1,11 @@
 package catalog
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/carawayrack/carawayrack/clock"
+)
 
 // Invalid is the error for a configuration that must not come into force.
 type Invalid struct {
@@ -12,6 +17,18 @@
 // Error returns the item and the reason.
 func (e Invalid) Error() string { return fmt.Sprintf("%s: %s", e.Item, e.Reason) }
 
+// Bounds of the numbers of a configuration: those that decisions add and multiply
+// must not overflow.
+const (
+	// maxWeight bounds the weight of a part. Sums of all parts of a route stay far
+	// below the largest integer.
+	maxWeight = 1 << 31
+	// maxRate bounds rates and bursts, in requests.
+	maxRate = 1e12
+	// maxTime bounds timeouts, objectives and warm-ups.
+	maxTime = 365 * 24 * 60 * 60 * clock.Second
+)
+
 // Validate checks the whole configuration. It returns the first problem found
 // as an Invalid error.
 func (c *Config) Validate() error {
@@ -20,6 +37,9 @@
 		if s.Name == "" {
 			return Invalid{"service", "has no name"}
 		}
+		if err := s.validate(); err != nil {
+			return err
+		}
 		services[s.Name] = true
 	}
 	routeAt := map[string]string{}
@@ -41,6 +61,9 @@
 		if a.Name == "" {
 			return Invalid{"account", "has no name"}
 		}
+		if !(a.Rate >= 0 && a.Rate <= maxRate && a.Burst >= 0 && a.Burst <= maxRate) {
+			return Invalid{"account " + a.Name, "has a rate or burst that is out of range"}
+		}
 		for _, k := range a.Keys {
 			if other, ok := accountOf[k]; ok && other != a.Name {
 				return Invalid{"account " + a.Name, "shares a key with " + other}
@@ -51,6 +74,13 @@
 	return nil
 }
 
+func (s Service) validate() error {
+	if s.WarmUp < 0 || s.WarmUp > maxTime || !(s.WarmUpRate >= 0 && s.WarmUpRate <= maxRate) {
+		return Invalid{"service " + s.Name, "has a warm-up that is out of range"}
+	}
+	return nil
+}
+
 func (r Route) validate(services map[string]bool) error {
 	item := "route " + r.Name
 	if r.Host == "" {
@@ -67,6 +97,9 @@
 	if r.Timeout <= 0 {
 		return Invalid{item, "has no timeout"}
 	}
+	if r.Timeout > maxTime || r.Objective < 0 || r.Objective > maxTime {
+		return Invalid{item, "has a time that is out of range"}
+	}
 	sum := 0
 	for _, p := range r.Parts {
 		if !services[p.Service] {
@@ -75,6 +108,9 @@
 		if p.Weight < 0 {
 			return Invalid{item, "has a negative weight"}
 		}
+		if p.Weight > maxWeight {
+			return Invalid{item, "has a weight above " + strconv.Itoa(maxWeight)}
+		}
 		sum += p.Weight
 	}
 	if sum == 0 {
--- a/edge/fleet_view.go
+++ b/edge/fleet_view.go
@@ -182,9 +182,11 @@
 	for _, p := range r.Parts {
 		sum += p.Weight
 	}
-	v.mu.Lock()
-	k := v.random(sum)
-	v.mu.Unlock()
+	if sum <= 0 {
+		// Configurations are checked; those in older logs were not.
+		return r.Parts[0].Service
+	}
+	k := v.draw(sum)
 	for _, p := range r.Parts {
 		if k -= p.Weight; k < 0 {
 			return p.Service
@@ -193,6 +195,13 @@
 	return r.Parts[0].Service
 }
 
+// draw returns a random number in [0, n).
+func (v *fleetView) draw(n int) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.random(n)
+}
+
 // minRetriesForProbe is the number of retries that must be left in the budget
 // before requests probe unhealthy targets. If a host's share of the budget is
 // small, half of it is enough, but at least one retry: that of the probing
