Halt a replica whose disk has failed a write

With a second loss an acknowledged change could be lost.

Change: a replica is halted after a failed write until it has been started from the disk. A process does not bootstrap beside a log that was set aside.

--- a/coordinator/cluster_test.go
+++ b/coordinator/cluster_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/wal"
 	"github.com/carawayrack/carawayrack/wire"
 )
 
@@ -373,6 +374,29 @@
 		c.waitForVoters(3)
 		c.waitForVersion(l, 3)
 	})
+
+	// Guards against a seed that votes again under an ID whose votes it has lost.
+	It("get a new identity once the log is set aside, also while the fleet starts for the first time", func() {
+		c := newCluster(3)
+		c.configure(0, 3)
+		l := c.leader()
+		c.crash(l)
+		m, err := filepath.Glob(filepath.Join(c.data(l), "log", "log-*"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.Truncate(m[0], 3)).To(Succeed())
+		c.start(l, true)
+		old := wal.BootstrapID(machineName(c.addrs[l]))
+		Eventually(func() string {
+			d, _ := c.nodes[l].State()
+			return d.ID
+		}, waitTimeout).ShouldNot(Or(BeEmpty(), Equal(old)))
+		c.waitForVersion(l, 3)
+		Eventually(func() map[string]string {
+			d, _ := c.nodes[c.leader()].State()
+			return d.Voters
+		}, waitTimeout).ShouldNot(HaveKey(old))
+		c.waitForVoters(3)
+	})
 })
 
 func testTarget(id string, born int64, number uint64) catalog.Target {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -103,8 +103,8 @@
 
 // openReplica loads the identity and the log. A damaged log is set aside and
 // returned as an error: the next call then finds an empty folder, and the
-// replica gets a new identity (the same one again if it bootstraps) and
-// receives the state from the others.
+// replica gets a new identity, also if it bootstrapped before, and receives the
+// state from the others. Under the old one it might vote twice.
 func (c *Coordinator) openReplica() (*Replica, error) {
 	i := wal.Identity{Dir: filepath.Join(c.Settings.Data, "log"), Name: machineName(c.Settings.Peer)}
 	if err := wal.MakeDir(i.Dir); err != nil {
@@ -114,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if id == "" && c.bootstraps() {
+	if id == "" && c.bootstraps() && !i.WasSetAside() {
 		if err := i.Bootstrap(); err != nil {
 			return nil, err
 		}
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -62,27 +62,28 @@
 		return
 	}
 	s := m.Snapshot
-	if s.Index > n.commit {
-		n.installSnapshot(*s)
+	if s.Index > n.commit && !n.installSnapshot(*s) {
+		return
 	}
 	n.send(Message{Kind: AppendResponse, To: m.From, Granted: true, Index: s.Index, Round: m.Round, Sent: m.Sent})
 }
 
 // installSnapshot replaces the log by the snapshot and keeps the entries that
-// follow it if the log matches the snapshot.
-func (n *Node) installSnapshot(s Snapshot) {
+// follow it if the log matches the snapshot. It returns false if it cannot be saved.
+func (n *Node) installSnapshot(s Snapshot) bool {
 	keep := []Entry(nil)
 	if t, ok := n.termAt(s.Index); ok && t == s.Term {
 		keep = n.entriesFrom(s.Index + 1)
 	}
-	if n.Storage.SaveSnapshot(s, n.vote, keep) != nil {
-		return
+	if !n.saveSnapshot(s, keep) {
+		return false
 	}
 	n.snapshot = s
 	n.entries = keep
 	n.commit, n.applied = s.Index, s.Index
 	n.Restore(s.Data)
 	n.updateMembers()
+	return true
 }
 
 // commitTo commits and applies the entries up to and including index i.
@@ -108,7 +109,7 @@
 	t, _ := n.termAt(n.applied)
 	s := Snapshot{Index: n.applied, Term: t, Members: n.membersAt(n.applied), Data: n.Capture()}
 	keep := n.entriesFrom(n.applied + 1)
-	if n.Storage.SaveSnapshot(s, n.vote, keep) != nil {
+	if !n.saveSnapshot(s, keep) {
 		return
 	}
 	n.snapshot, n.entries = s, keep
@@ -131,7 +132,7 @@
 	if m.Term != n.vote.Term || m.From != n.leader {
 		return
 	}
-	n.diskStale = true
+	n.halted = true
 	i, _ := n.Last()
 	n.OnViolation(StaleDisk{ID: n.ID, Last: i, Acked: m.Index})
 }
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -229,6 +229,8 @@
 	n.commitTo(i)
 	if n.role == Leader && !n.isVoter() {
 		n.becomeFollower(now, n.vote.Term, "")
+	}
+	if n.role != Leader {
 		return
 	}
 	n.broadcast(now)
--- a/replica/node.go
+++ b/replica/node.go
@@ -89,10 +89,12 @@
 	termStart uint64
 	// messagesSent counts the append and snapshot messages of this replica.
 	messagesSent uint64
-	// diskStale is set when the leader has rejected this replica's disk: the
-	// replica then neither campaigns nor handles messages.
-	diskStale bool
-	outbox    []Message
+	// halted is set when a write to the disk has failed, or the leader has rejected
+	// the disk: what this replica holds in memory may not be on it. The replica then
+	// neither campaigns nor leads nor handles messages. Its owner starts it again
+	// from the disk.
+	halted bool
+	outbox []Message
 }
 
 // Run starts the replica with the state of its disk. Initial is the membership
@@ -224,11 +226,25 @@
 	n.electionDeadline = now + e + clock.Millis(n.Random(int(e)))
 }
 
-// save makes the vote and entries durable and reports whether it did. A replica
-// that cannot write its disk must not go on: Storage reports the error, and the
-// owner of the node ends the process or restarts the replica from its disk.
+// save makes the vote and entries durable and reports whether it did. After a failure
+// the replica is halted.
 func (n *Node) save(e []Entry) bool {
-	return n.Storage.Save(n.vote, e) == nil
+	return n.haltAfter(n.Storage.Save(n.vote, e))
+}
+
+// saveSnapshot replaces what the disk holds and reports whether it did. After a
+// failure the replica is halted.
+func (n *Node) saveSnapshot(s Snapshot, e []Entry) bool {
+	return n.haltAfter(n.Storage.SaveSnapshot(s, n.vote, e))
+}
+
+// haltAfter halts the replica after an error and reports whether there was none.
+func (n *Node) haltAfter(err error) bool {
+	if err != nil {
+		n.halted = true
+		n.role, n.leader = Follower, ""
+	}
+	return err == nil
 }
 
 // Tick starts an election or broadcasts a heartbeat if one is due. A leader steps
@@ -238,14 +254,14 @@
 		n.tickLeader(now)
 		return
 	}
-	if now >= n.electionDeadline && n.isVoter() && !n.diskStale {
+	if now >= n.electionDeadline && n.isVoter() && !n.halted {
 		n.preCampaign(now)
 	}
 }
 
 // Step handles a message from another replica.
 func (n *Node) Step(now clock.Millis, m Message) {
-	if m.To != n.ID || n.diskStale {
+	if m.To != n.ID || n.halted {
 		return
 	}
 	if m.Term > n.vote.Term && m.Kind != RequestPreVote && !(m.Kind == PreVoteResponse && m.Granted) {
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -33,6 +33,39 @@
 	up          bool
 	frozenUntil clock.Millis
 	lastProof   Proof
+	// writes counts the writes of the disk. The one with the number failAt fails.
+	writes, failAt int
+}
+
+// DiskFull is the error of a write that fails.
+type DiskFull struct{}
+
+// Error describes the error.
+func (DiskFull) Error() string { return "no space left" }
+
+// write counts a write and returns its error.
+func (m *machine) write() error {
+	m.writes++
+	if m.writes == m.failAt {
+		return DiskFull{}
+	}
+	return nil
+}
+
+// lastOnDisk returns the index of the last entry on the disk.
+func (m *machine) lastOnDisk() uint64 { return m.disk.Snapshot.Index + uint64(len(m.disk.Entries)) }
+
+// checkPromises asserts that messages promise nothing that the disk does not hold.
+func (m *machine) checkPromises(l []Message) {
+	for _, x := range l {
+		switch {
+		case x.Kind == AppendResponse && x.Granted:
+			Expect(x.Index).To(BeNumerically("<=", m.lastOnDisk()), "%s acknowledged what is not on its disk", m.id)
+		case x.Kind == VoteResponse && x.Granted:
+			Expect(m.disk.Vote).To(Equal(Vote{Term: x.Term, For: x.To}), "%s granted a vote that is not on its disk", m.id)
+		}
+	}
+	Expect(m.node.Commit()).To(BeNumerically("<=", m.lastOnDisk()), "%s committed what is not on its disk", m.id)
 }
 
 // cluster drives replicas over a network that delays, loses, duplicates and
@@ -86,11 +119,17 @@
 		ID: m.id, ElectionTimeout: testElection, Heartbeat: testHeartbeat, CompactAfter: 20, Random: c.r.Intn,
 		Storage: Storage{
 			Save: func(v Vote, e []Entry) error {
+				if err := m.write(); err != nil {
+					return err
+				}
 				m.disk.Vote = v
 				m.disk.Entries = merge(m.disk.Entries, e)
 				return nil
 			},
 			SaveSnapshot: func(s Snapshot, v Vote, e []Entry) error {
+				if err := m.write(); err != nil {
+					return err
+				}
 				m.disk = PersistentState{Vote: v, Snapshot: s, Entries: append([]Entry(nil), e...)}
 				return nil
 			},
@@ -179,7 +218,7 @@
 	for _, x := range due {
 		if m := c.machines[x.To]; m != nil && m.up {
 			m.node.Step(c.now, x)
-			c.send(m.node.TakeMessages())
+			c.take(m)
 		}
 	}
 	for _, id := range c.ids() {
@@ -190,7 +229,7 @@
 		m.node.Tick(c.now)
 		c.checkProof(m)
 		c.repair(m)
-		c.send(m.node.TakeMessages())
+		c.take(m)
 	}
 	c.propose()
 }
@@ -217,7 +256,14 @@
 	c.proposed++
 	_, err := m.node.Propose(c.now, []byte(fmt.Sprint(c.proposed)))
 	Expect(err).NotTo(HaveOccurred())
-	c.send(m.node.TakeMessages())
+	c.take(m)
+}
+
+// take sends the messages of a replica.
+func (c *cluster) take(m *machine) {
+	l := m.node.TakeMessages()
+	m.checkPromises(l)
+	c.send(l)
 }
 
 // down counts the stopped replicas.
@@ -388,6 +434,39 @@
 		Expect(requestVote("c.founder", 6, 1, 5)).To(BeTrue())
 	})
 
+	// Guards against entries that are kept in memory after their write has failed, and
+	// then acknowledged, counted or applied.
+	ginkgo.It("promises and applies nothing that its disk does not hold when any one write fails", func() {
+		failed := 0
+		for k := 1; k <= 120; k++ {
+			ginkgo.By(fmt.Sprintf("write %d", k))
+			c := newCluster(int64(k))
+			m := c.machines[c.ids()[k%3]]
+			m.failAt = 1 + k%40
+			for i := 0; i < 3000; i++ {
+				c.step(false)
+				if m.node.halted && i%50 == 0 {
+					failed++
+					c.start(m)
+				}
+			}
+			c.heal()
+		}
+		Expect(failed).To(BeNumerically(">", 100))
+	})
+
+	ginkgo.It("does not acknowledge a snapshot whose write has failed", func() {
+		c := newCluster(1)
+		m := c.machines["a.founder"]
+		m.failAt = m.writes + 2
+		s := Snapshot{Index: 40, Term: 3, Members: bootstrapMembers(), Data: []byte("x")}
+		m.node.Step(c.now, Message{Kind: InstallSnapshot, From: "b.founder", To: m.id, Term: 3, Snapshot: &s})
+		Expect(m.node.TakeMessages()).To(BeEmpty())
+		m.node.Step(c.now, Message{Kind: InstallSnapshot, From: "b.founder", To: m.id, Term: 3, Snapshot: &s})
+		Expect(m.node.TakeMessages()).To(BeEmpty())
+		Expect(m.node.Commit()).To(BeZero())
+	})
+
 	ginkgo.It("steps down as leader when it can send but not receive", func() {
 		c := newCluster(1)
 		l := c.awaitLeader()
@@ -468,7 +547,7 @@
 			c.step(false)
 		}
 		Expect(violation).To(BeAssignableToTypeOf(StaleDisk{}))
-		Expect(m.node.isVoter() && !m.node.diskStale).To(BeFalse())
+		Expect(m.node.isVoter() && !m.node.halted).To(BeFalse())
 	})
 })
 
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -1,7 +1,8 @@
 package replica
 
 // Storage makes a replica's state durable. Both functions return only after
-// the state is synced to disk.
+// the state is synced to disk. After an error it is not known what the disk holds, and
+// the replica is halted.
 type Storage struct {
 	// Save stores the vote and the entries. The first entry replaces any
 	// stored entry with the same or a higher index.
--- a/wal/identity.go
+++ b/wal/identity.go
@@ -88,10 +88,21 @@
 	return errors.Wrap(syncDir(i.Dir), "wal.store")
 }
 
+// setAsideMark stands in the names of data folders that were set aside.
+const setAsideMark = ".set-aside-"
+
+// WasSetAside reports whether the data folder was ever set aside: the replica then had
+// an ID and a vote that are lost.
+func (i Identity) WasSetAside() bool {
+	// The only error is that of a malformed pattern, which Dir does not cause.
+	l, _ := filepath.Glob(i.Dir + setAsideMark + "*")
+	return len(l) > 0
+}
+
 // SetAside renames the data folder by adding .set-aside- and the time (UTC). The
 // replica then starts with an empty disk, and the old data stays available for
 // inspection.
 func (i Identity) SetAside() error {
-	to := i.Dir + ".set-aside-" + time.Now().UTC().Format("20060102T150405.000")
+	to := i.Dir + setAsideMark + time.Now().UTC().Format("20060102T150405.000")
 	return errors.Wrap(os.Rename(i.Dir, to), "wal.SetAside")
 }
