Give requests the stricter of two readings of their path

Cause: the route was selected by the decoded path, the path forwarded as sent.

Change: where the readings select different routes, the request gets what both allow, and no route if they lead to different services. Paths that begin with two slashes are forwarded as sent, and host names compared without regard to case.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "github.com/carawayrack/carawayrack/clock"
+import (
+	"strings"
+
+	"github.com/carawayrack/carawayrack/clock"
+)
 
 // Kind says whether a route's requests may be sent to a target more than once.
 type Kind string
@@ -109,10 +113,11 @@
 	c.byAccount = map[string]*Account{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		if c.byPath[r.Host] == nil {
-			c.byPath[r.Host] = map[string]*Route{}
+		h := strings.ToLower(r.Host)
+		if c.byPath[h] == nil {
+			c.byPath[h] = map[string]*Route{}
 		}
-		c.byPath[r.Host][r.Prefix] = r
+		c.byPath[h][r.Prefix] = r
 	}
 	for i := range c.Accounts {
 		a := &c.Accounts[i]
@@ -127,9 +132,9 @@
 }
 
 // Match returns the route of host whose prefix is the longest that path begins
-// with, nil if there is none.
+// with, nil if there is none. The case of host does not matter.
 func (c *Config) Match(host, path string) *Route {
-	m := c.byPath[host]
+	m := c.byPath[strings.ToLower(host)]
 	if m == nil {
 		return nil
 	}
--- a/catalog/validate.go
+++ b/catalog/validate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/carawayrack/carawayrack/clock"
 )
@@ -47,10 +48,11 @@
 		if err := r.validate(services); err != nil {
 			return err
 		}
-		if other, ok := routeAt[r.Host+r.Prefix]; ok {
+		place := strings.ToLower(r.Host) + r.Prefix
+		if other, ok := routeAt[place]; ok {
 			return Invalid{"route " + r.Name, "has the place of route " + other}
 		}
-		routeAt[r.Host+r.Prefix] = r.Name
+		routeAt[place] = r.Name
 	}
 	return c.validateKeys()
 }
--- a/edge/call.go
+++ b/edge/call.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"os"
 	"strconv"
 	"sync/atomic"
@@ -121,7 +120,10 @@
 // configuration has no route for the request or does not have its key.
 func (c *call) findRoute(f *catalog.Config) *refusal {
 	version := "version " + strconv.FormatUint(f.Version, 10)
-	if c.route = f.Match(hostName(c.r), c.r.URL.Path); c.route == nil {
+	if !pathKept(c.r) {
+		return &refusal{BadRequest, http.StatusBadRequest, 0, "the path cannot be forwarded unchanged"}
+	}
+	if c.route = matchRoute(f, c.r); c.route == nil {
 		return &refusal{NoRoute, http.StatusNotFound, 0, version}
 	}
 	c.account = f.AccountByKey(c.r.Header.Get(c.host.Headers.Key))
@@ -238,7 +240,7 @@
 		h["User-Agent"] = []string{""}
 	}
 	o := &http.Request{
-		Method: c.r.Method, URL: &url.URL{Opaque: c.r.RequestURI}, Host: c.r.Host, Header: h,
+		Method: c.r.Method, URL: outgoingURL(c.r), Host: c.r.Host, Header: h,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(c.body) > 0 {
--- a/edge/host.go
+++ b/edge/host.go
@@ -168,7 +168,7 @@
 	if c == nil {
 		return true
 	}
-	t := c.Match(hostName(r), r.URL.Path)
+	t := matchRoute(c, r)
 	return t == nil || t.Kind == catalog.Idempotent
 }
 
