Give the targets of the demonstration a port that no connection gets

make demo served no request in some plays and timed out after 40 s.

Cause: the targets' interface had port 39400, which the kernel also gives to client connections. Where one had it, the targets ended at their start; their output was not kept. Both logs of such plays lack any targetArrived event.

Change: the port is searched below the ephemeral range, and targets that end are reported at once with their output.

--- a/cmd/carawaylab/demo.go
+++ b/cmd/carawaylab/demo.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -26,8 +27,6 @@
 	demoZones    = 3
 	demoReplicas = 3
 	demoAccounts = 3
-	// demoControl is the address of the targets' interface for faults and counts.
-	demoControl  = "127.0.0.1:39400"
 	readyTimeout = 40 * time.Second
 )
 
@@ -35,10 +34,68 @@
 // account.
 type demo struct {
 	fleet   *lab.Fleet
-	targets *exec.Cmd
+	targets *targetProcess
 	keys    map[string]string
 }
 
+// targetProcess is the process of the stand-in targets. Its output goes to a file.
+type targetProcess struct {
+	command *exec.Cmd
+	// control is the address of its interface for faults and counts.
+	control string
+	log     string
+	// ended is closed once the process has ended.
+	ended chan struct{}
+}
+
+// TargetsEnded is the error of targets that ended during the demonstration.
+type TargetsEnded struct{ Output string }
+
+// Error returns what the targets have written.
+func (e TargetsEnded) Error() string { return "the targets have ended: " + e.Output }
+
+// start starts the process with its arguments.
+func (t *targetProcess) start(program string, args ...string) error {
+	f, err := os.Create(t.log)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	t.command = exec.Command(program, args...)
+	t.command.Stdout, t.command.Stderr = f, f
+	t.ended = make(chan struct{})
+	if err := t.command.Start(); err != nil {
+		return err
+	}
+	go t.run()
+	return nil
+}
+
+func (t *targetProcess) run() {
+	// The output tells why the process has ended.
+	_ = t.command.Wait()
+	close(t.ended)
+}
+
+// err returns TargetsEnded if the process has ended.
+func (t *targetProcess) err() error {
+	select {
+	case <-t.ended:
+		b, err := os.ReadFile(t.log)
+		if err != nil {
+			return err
+		}
+		return TargetsEnded{strings.TrimSpace(string(b))}
+	default:
+		return nil
+	}
+}
+
+func (t *targetProcess) stop() {
+	_ = t.command.Process.Kill()
+	<-t.ended
+}
+
 func runDemo(args []string) int {
 	f := command.Flags("demo", usageDemo)
 	binary := f.String("binary", "bin/carawayrack", "path of the carawayrack program")
@@ -81,9 +138,13 @@
 	if err != nil {
 		return err
 	}
-	d.targets = exec.Command(self, "target", "-count", "6", "-zones", fmt.Sprint(demoZones), "-secret", lab.Secret,
-		"-control", demoControl, "-announce", strings.Join(d.fleet.Addresses("host", lab.Admin), ","))
-	return d.targets.Start()
+	t := &targetProcess{control: d.fleet.FreeAddress(), log: filepath.Join(d.fleet.Dir, "targets.log")}
+	if err := t.start(self, "target", "-count", "6", "-zones", fmt.Sprint(demoZones), "-secret", lab.Secret,
+		"-control", t.control, "-announce", strings.Join(d.fleet.Addresses("host", lab.Admin), ",")); err != nil {
+		return err
+	}
+	d.targets = t
+	return nil
 }
 
 // createConfiguration applies a configuration with accounts, keys, a service and
@@ -135,7 +196,11 @@
 // awaitReady waits until h1 serves a request on the route that needs no key.
 func (d *demo) awaitReady() error {
 	a := d.fleet.Processes["h1"].Callers
-	return lab.Await(readyTimeout, "a request is served", func() bool {
+	var ended error
+	err := lab.Await(readyTimeout, "a request is served", func() bool {
+		if ended = d.targets.err(); ended != nil {
+			return true
+		}
 		r, err := http.Get("http://" + a + "/welcome/now?work=1")
 		if err != nil {
 			return false
@@ -143,6 +208,10 @@
 		_ = r.Body.Close()
 		return r.StatusCode == http.StatusOK
 	})
+	if ended != nil {
+		return ended
+	}
+	return err
 }
 
 // print prints the results of the accounts and the counts of the targets, and
@@ -168,7 +237,7 @@
 // stats returns the total counts of the targets.
 func (d *demo) stats() (standin.Stats, error) {
 	var m map[string]standin.Stats
-	r, err := http.Get("http://" + demoControl + "/stats")
+	r, err := http.Get("http://" + d.targets.control + "/stats")
 	if err != nil {
 		return standin.Stats{}, err
 	}
@@ -180,8 +249,7 @@
 // close stops the fleet and the targets.
 func (d *demo) close() {
 	d.fleet.Close()
-	if d.targets != nil && d.targets.Process != nil {
-		_ = d.targets.Process.Kill()
-		_ = d.targets.Wait()
+	if d.targets != nil {
+		d.targets.stop()
 	}
 }
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -40,6 +40,9 @@
 
 	// Processes holds the processes by name, set by Prepare.
 	Processes map[string]*Process
+
+	// nextPort is the port from which the search for a free one goes on.
+	nextPort int
 }
 
 // Process is one process of a fleet.
@@ -110,6 +113,16 @@
 			}
 		}
 	}
+	f.nextPort = next
+}
+
+// FreeAddress returns a loopback address for another process that takes part. Like
+// those of the fleet, its port is below the ephemeral range. Prepare must have been
+// called.
+func (f *Fleet) FreeAddress() string {
+	var a string
+	a, f.nextPort = freePort(f.nextPort)
+	return a
 }
 
 // freePort returns the loopback address of the first port that can be listened
