--- a/edge/notice_load_test.go
+++ b/edge/notice_load_test.go
@@ -229,7 +229,7 @@
 }
 
 func (s *noticeSimulation) String() string {
-	return fmt.Sprintf("%d requests: %d served, %d late, %d refused (after %d ms at most), %d sent again, %d against the target's word",
+	return fmt.Sprintf("%d requests: %d served, %d late, %d refused (after %d ms at most), %d sent again, %d after a notice",
 		s.requests, s.served, s.late, s.refused, s.refusedAfter, s.again, s.against)
 }
 
@@ -258,7 +258,7 @@
 		return s
 	}
 
-	It("send nothing to targets against their word while a third of them leaves", func() {
+	It("send nothing to targets that have said that they leave", func() {
 		without, with := leave(false), leave(true)
 		GinkgoWriter.Println("not heeded:", without, "\nheeded:", with)
 		Expect(without.against).To(BeNumerically(">", 0))
