Try targets that fail in spells again after as long as they have failed

Three of ten targets reset 85 of 100 requests in spells of 10 to 20 s while their health path passes. Owners that had not checked a target themselves took the reports of passed checks for successes of requests (risk 0.17), so requests that must not be repeated were sent there a few seconds into the spell.

Such requests now wait as long as the target has been failing (5 to 15 s, longer at each further owner) unless all others are full.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -52,6 +52,9 @@
 // lowest cost is picked.
 func (p *Pool) cost(now clock.Millis, t *target, a Request) float64 {
 	c := p.risk(now, t)
+	if !a.Idempotent && t.successesNeeded >= checkedSuccessesNeeded {
+		c = max(c, p.trialRisk(now, t))
+	}
 	b, s := t.totalInFlight(now), t.slots()
 	c += costInFlight * float64(b)
 	if b == s-1 {
@@ -84,7 +87,7 @@
 // risk estimates the probability that the target fails the next request.
 func (p *Pool) risk(now clock.Millis, t *target) float64 {
 	if t.checked && t.successesNeeded == checkedSuccessesNeeded {
-		return t.checkedRisk(now)
+		return p.trialRisk(now, t)
 	}
 	if t.successesNeeded > 0 {
 		return costRecovering[min(t.successesNeeded, maxSuccessesNeeded)]
--- a/balance/observation.go
+++ b/balance/observation.go
@@ -234,7 +234,7 @@
 		}
 	}
 	if e.OKAge != never {
-		if at := now - clock.Millis(e.OKAge); at > t.okAt && at > t.failAt+ageTolerance {
+		if at := now - clock.Millis(e.OKAge); at > t.okAt+ageTolerance && at > t.failAt+ageTolerance {
 			t.okAt = at
 			if t.successesNeeded > 0 {
 				t.successesNeeded--
