Accept routes of kind download

Change: catalog.Download, and catalog.Kind.Repeatable for the question whether a request may run more than once. Requests of this kind are retried, hedged and pipelined like idempotent ones. They do not probe unhealthy targets: what a target has begun to send of a large response cannot be taken back. A path with two readings gets the kind that is not repeatable whichever reading comes first; with the former comparison an unsafe route would have become a download one.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -17,8 +17,13 @@
 	Unsafe Kind = "unsafe"
 	// Upload requests may be executed at most once and have large bodies.
 	Upload Kind = "upload"
+	// Download requests may be executed more than once and have large responses.
+	Download Kind = "download"
 )
 
+// Repeatable reports whether a request of the kind may be executed more than once.
+func (k Kind) Repeatable() bool { return k == Idempotent || k == Download }
+
 // Route sends the requests of one host name and path prefix to services.
 type Route struct {
 	Name string
--- a/catalog/validate.go
+++ b/catalog/validate.go
@@ -92,7 +92,7 @@
 		return Invalid{item, "has a prefix that does not begin with a slash"}
 	}
 	switch r.Kind {
-	case Idempotent, Unsafe, Upload:
+	case Idempotent, Unsafe, Upload, Download:
 	default:
 		return Invalid{item, "has the unknown kind " + string(r.Kind)}
 	}
--- a/edge/call.go
+++ b/edge/call.go
@@ -62,7 +62,7 @@
 }
 
 // idempotent reports whether the request may run more than once.
-func (c *call) idempotent() bool { return c.route.Kind == catalog.Idempotent }
+func (c *call) idempotent() bool { return c.route.Kind.Repeatable() }
 
 // kind returns the kind of the route as metrics show it.
 func (c *call) kind() string {
--- a/edge/host.go
+++ b/edge/host.go
@@ -161,15 +161,15 @@
 }
 
 // independent reports whether a request may run beside others of its
-// connection: those on idempotent routes may, and those that are refused at
-// once.
+// connection: those on routes whose requests may be repeated may, and those
+// that are refused at once.
 func (h *Host) independent(r *http.Request) bool {
 	c, _ := h.view.current(h.Clock.Now())
 	if c == nil {
 		return true
 	}
 	t := matchRoute(c, r)
-	return t == nil || t.Kind == catalog.Idempotent
+	return t == nil || t.Kind.Repeatable()
 }
 
 // logNotRead logs that a request was sent behind a response that ends its
--- a/edge/route_match.go
+++ b/edge/route_match.go
@@ -52,7 +52,7 @@
 // time, and requests without a key.
 func stricter(a, b *catalog.Route) *catalog.Route {
 	r := *a
-	if b.Kind != catalog.Idempotent {
+	if !b.Kind.Repeatable() || a.Kind == catalog.Idempotent {
 		r.Kind = b.Kind
 	}
 	r.Attempts = min(a.Attempts, b.Attempts)
--- a/edge/route_match_test.go
+++ b/edge/route_match_test.go
@@ -58,6 +58,16 @@
 		Expect(int(r.Timeout)).To(Equal(500))
 	})
 
+	// Guards against a request that runs twice because the reading of its path with the
+	// weaker kind replaced the stricter one.
+	It("is never repeatable if one reading of its path is not", func() {
+		unsafe, safe, download := &catalog.Route{Kind: catalog.Unsafe}, &catalog.Route{Kind: catalog.Idempotent}, &catalog.Route{Kind: catalog.Download}
+		Expect(stricter(unsafe, download).Kind).To(Equal(catalog.Unsafe))
+		Expect(stricter(download, unsafe).Kind).To(Equal(catalog.Unsafe))
+		Expect(stricter(safe, download).Kind).To(Equal(catalog.Download))
+		Expect(stricter(download, safe).Kind).To(Equal(catalog.Download))
+	})
+
 	It("does not depend on the case of the host name", func() {
 		Expect(matchRoute(pathConfig(), requestFor("h.EXAMPLE:80", "/file/1")).Name).To(Equal("file"))
 	})
--- a/edge/send.go
+++ b/edge/send.go
@@ -185,7 +185,7 @@
 		until = now
 	}
 	request := balance.Request{
-		Idempotent:   c.idempotent() && len(c.tried) == 0,
+		Idempotent:   c.mayProbe() && len(c.tried) == 0,
 		Retryable:    c.attempts+1 < max(c.route.Attempts, 1) && c.replayable(),
 		LargeBody:    c.route.Kind == catalog.Upload,
 		Avoid:        c.tried,
