Interrupt no request in a planned stop of a host

Cause: for 2.8 s after the signal a host passed on all requests. With work of 3.5 s, a route timeout of 4 s and a grace period of 6 s, those sent 2.4 to 2.65 s after the signal ran and were cut off at 5.8 s. The decision was made on arrival only: waiting for a body or a target, and retries, came on top.

Change: the host decides by shutdown.Plan and latency.Routes on arrival, while the request waits for a target, and right before each attempt, hedges and retries included. A body must arrive while the request may still be sent, also one that is being read when the signal comes. The time from sending to a complete response, whatever its status, is recorded for its route.

Tests replaced: the table of edge/stop_test.go had no processing time.

Without the checks in the queue, before sending, or of bodies the respective specs fail: 200 instead of 503, no refusal, a response after 9 s instead of 2 s; without the first two, a second request reaches a target. go test -race ./edge ./shutdown ./latency ./pipeline passes.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -106,6 +106,11 @@
 	if errors.As(f.Cause, &leaving) || errors.As(f.Cause, &paused) {
 		return a.turnedAway(f.Cause)
 	}
+	var stopping *refusal
+	if errors.As(f.Cause, &stopping) {
+		a.turnedAway(f.Cause)
+		return stopping, false
+	}
 	if f.NotRun {
 		if f.Outcome == slots.Cancelled {
 			a.finish(a.cancelOutcome())
@@ -262,8 +267,10 @@
 	switch o {
 	case balance.Served:
 		c.host.view.recordLatency(c.route.Name, r.Took)
+		c.host.latencies.Record(now, c.route.Name, r.Took)
 		c.host.poison.clearRequest(c)
 	case balance.Failed:
+		c.host.latencies.Record(now, c.route.Name, r.Took)
 		c.host.poison.clearRequest(c)
 	case balance.Broken:
 		c.host.poison.checkCrash(c.fingerprint(), a.choice.ID, a.choice.Addr)
--- a/edge/call.go
+++ b/edge/call.go
@@ -104,8 +104,8 @@
 		return x
 	}
 	c.setDeadline()
-	if c.host.endsBefore(c.start, c.deadline) {
-		return &refusal{Stopping, http.StatusServiceUnavailable, 0, "the process ends before the request's deadline"}
+	if x := c.endsBefore(c.host.Clock.Now()); x != nil {
+		return x
 	}
 	if x := c.readBody(f.Limits.BodyBytes); x != nil {
 		return x
@@ -180,10 +180,10 @@
 	if c.bodyLength == 0 {
 		return nil
 	}
-	// The error is that of a server that does not support deadlines.
-	_ = http.NewResponseController(c.w).SetReadDeadline(c.netDeadline(c.deadline))
 	c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
+	c.host.bodyReads.begin(c)
 	b, err := c.host.requestBuffers.read(c.r.Body, maxBufferedBody)
+	c.host.bodyReads.end(c)
 	c.reserved = b.reserved
 	var large *http.MaxBytesError
 	switch {
@@ -191,6 +191,9 @@
 	case errors.As(err, &large):
 		return &refusal{BodyTooLarge, http.StatusRequestEntityTooLarge, 0, "more than " + strconv.FormatInt(limit, 10)}
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		if x := c.endsBefore(c.host.Clock.Now()); x != nil {
+			return x
+		}
 		return &refusal{BodyTooLate, http.StatusRequestTimeout, 0, strconv.Itoa(len(b.bytes)) + " bytes arrived"}
 	default:
 		return &refusal{BadRequest, http.StatusBadRequest, 0, "cannot read the request body: " + err.Error()}
@@ -201,6 +204,7 @@
 		return nil
 	}
 	c.unreadBody, c.streamed = c.r.Body, true
+	c.setReadDeadline(c.deadline)
 	return nil
 }
 
--- a/edge/host.go
+++ b/edge/host.go
@@ -3,7 +3,6 @@
 package edge
 
 import (
-	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,6 +16,7 @@
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/forward"
+	"github.com/carawayrack/carawayrack/latency"
 	"github.com/carawayrack/carawayrack/pipeline"
 	"github.com/carawayrack/carawayrack/wire"
 )
@@ -43,7 +43,10 @@
 	requestBuffers, responseBuffers *bodyBudget
 	metrics                         *metrics
 	server                          *pipeline.Server
-	leaving                         atomic.Bool
+	// latencies holds the processing times at targets, by route.
+	latencies latency.Routes
+	bodyReads bodyReads
+	leaving   atomic.Bool
 	// leavingAt is when Stop was called; it is set before leaving is.
 	leavingAt clock.Millis
 	started   clock.Millis
@@ -284,47 +287,3 @@
 	// The error is of no use: the caller has disconnected.
 	_, _ = c.w.Write(a.body)
 }
-
-const (
-	// acceptShare is the share of the grace period in which a leaving host still
-	// accepts requests: callers go on using its address for a while.
-	acceptShare = 0.7
-	// finishMargin is the part of the grace period that is left for the end of
-	// the process.
-	finishMargin = 200 * clock.Millis(1)
-	// acceptAllTime is the first part of the grace period, in which most callers
-	// have not learned yet that the host leaves. The platform excuses a request
-	// that is cut off at the end of the grace period only if it was sent in its
-	// first 3 s.
-	acceptAllTime = 3*clock.Second - finishMargin
-)
-
-// endsBefore reports whether the process may end before a request that arrived at
-// a time is answered, because the host leaves and the request may last until its
-// deadline. Such a request must not be passed on. In acceptAllTime the host takes
-// all requests: nearly all are answered long before their deadline.
-func (h *Host) endsBefore(arrival, deadline clock.Millis) bool {
-	if !h.leaving.Load() || arrival < h.leavingAt+acceptAllTime {
-		return false
-	}
-	return deadline+responseMargin > h.leavingAt+h.Settings.Grace-finishMargin
-}
-
-// Stop lets the host accept requests for acceptShare of the grace period, since
-// callers may still send them; see endsBefore for those that it refuses. Then it
-// waits for those in flight, and returns finishMargin before the end of the grace
-// period at the latest.
-func (h *Host) Stop() {
-	start := time.Now()
-	h.leavingAt = h.Clock.Now()
-	h.leaving.Store(true)
-	h.server.Drain()
-	h.control.trigger()
-	g := h.Settings.Grace.Duration()
-	time.Sleep(time.Duration(float64(g) * acceptShare))
-	x, stop := context.WithDeadline(context.Background(), start.Add(g-finishMargin.Duration()))
-	defer stop()
-	if err := h.server.Stop(x); err != nil {
-		h.Log.Warn("requests were still in flight at the end of the grace period", zap.Error(err))
-	}
-}
--- a/edge/notice.go
+++ b/edge/notice.go
@@ -97,7 +97,11 @@
 // checkWanted is called right before the request is sent.
 func (a *attempt) checkWanted() error {
 	c := a.call
-	return c.host.view.wanted(c.host.Clock.Now(), c.service, a.choice)
+	now := c.host.Clock.Now()
+	if x := c.endsBefore(now); x != nil {
+		return x
+	}
+	return c.host.view.wanted(now, c.service, a.choice)
 }
 
 // turnedAway ends an attempt of which nothing was sent, because its target has said
--- a/edge/pending_pick.go
+++ b/edge/pending_pick.go
@@ -24,6 +24,10 @@
 	// Pause is the time until the first one does, 0 if all are leaving.
 	closed bool
 	pause  clock.Millis
+	// refuse, if set, returns the reason to end the wait before its deadline, and
+	// nil if there is none; refused is what it returned.
+	refuse  func(now clock.Millis) *refusal
+	refused *refusal
 }
 
 // standingQueueWait is how long a request may wait in a queue that has not been
@@ -31,8 +35,8 @@
 const standingQueueWait = 60 * clock.Millis(1)
 
 // waitForTarget picks a target. If all are full, the request waits in the queue
-// until its deadline. It returns false if there is still no target then, or if the
-// caller has left.
+// until its deadline. It returns false if there is still no target then, if the
+// caller has left, or if p.refuse ends the wait.
 func (h *Host) waitForTarget(c context.Context, p *pendingPick) (balance.Choice, bool) {
 	queued := false
 	for {
@@ -41,6 +45,13 @@
 			return balance.Choice{}, false
 		}
 		now := h.Clock.Now()
+		if p.refuse != nil {
+			p.refused = p.refuse(now)
+		}
+		if p.refused != nil {
+			h.view.leaveQueue(p, queued)
+			return balance.Choice{}, false
+		}
 		x, ok, over := h.view.tryPick(now, p, queued)
 		if ok || over {
 			return x, ok
@@ -56,7 +67,7 @@
 	}
 }
 
-// leaveQueue removes a request whose caller has left from the queue.
+// leaveQueue removes a request that needs no target any more from the queue.
 func (v *fleetView) leaveQueue(p *pendingPick, queued bool) {
 	if !queued {
 		return
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -33,8 +33,7 @@
 	BodyTooLate    Reason = "bodyTooLate"
 	// MemoryFull counts requests whose responses found no memory; see bodyBudget.
 	MemoryFull Reason = "memoryFull"
-	// Stopping counts requests that reached a leaving host so late that it might
-	// end before they are answered.
+	// Stopping counts requests that a leaving host might not answer before it ends.
 	Stopping Reason = "stopping"
 	// NotRead counts requests behind a response that ends their connection; they
 	// get no response.
--- a/edge/send.go
+++ b/edge/send.go
@@ -193,13 +193,16 @@
 	}
 	p := &pendingPick{
 		service: c.service, request: request, waiter: balance.Waiter{Priority: c.priority(), Since: c.start},
-		start: now, deadline: until,
+		start: now, deadline: until, refuse: c.endsBefore,
 	}
 	h, ok := c.host.waitForTarget(c.context, p)
 	now = c.host.Clock.Now()
 	if !ok && last != nil {
 		return nil, last.refusal()
 	}
+	if !ok && p.refused != nil {
+		return nil, p.refused
+	}
 	if !ok && p.closed {
 		return nil, c.closedRefusal(p.pause)
 	}
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,9 +14,11 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/forward"
 )
 
 // lastPort is the last port that freeAddress has returned.
@@ -136,20 +139,119 @@
 		Expect(w.post("/unsafe/", "body", "Left", "1500").status).To(Equal(200))
 	})
 
+	// Guards against a decision that ignores how long requests of the route take: work
+	// is the processing time of its recent responses, 0 if there are none.
 	DescribeTable("passes on what it can answer before it ends",
-		func(grace, arrival, timeLimit int, refused bool) {
+		func(grace, arrival, timeLimit, work int, refused bool) {
 			h := &Host{Settings: Settings{Grace: clock.Millis(grace)}, leavingAt: 1_000_000}
 			at := h.leavingAt + clock.Millis(arrival)
-			Expect(h.endsBefore(at, at+clock.Millis(timeLimit))).To(BeFalse())
+			for i := 0; i < 50 && work > 0; i++ {
+				h.latencies.Record(h.leavingAt, "r", clock.Millis(work))
+			}
+			c := &call{host: h, route: &catalog.Route{Name: "r"}, deadline: at + clock.Millis(timeLimit)}
+			Expect(c.endsBefore(at)).To(BeNil())
 			h.leaving.Store(true)
-			Expect(h.endsBefore(at, at+clock.Millis(timeLimit))).To(Equal(refused))
+			if !refused {
+				Expect(c.endsBefore(at)).To(BeNil())
+				return
+			}
+			x := c.endsBefore(at)
+			Expect(x).NotTo(BeNil())
+			Expect(x.reason).To(Equal(Stopping))
+			Expect(x.status).To(Equal(503))
+			Expect(x.retryAfter).To(BeZero())
 		},
-		Entry("at once, whatever the time limit", 6000, 0, 12_000, false),
-		Entry("while callers learn that it leaves", 6000, 2700, 8000, false),
-		Entry("late, with a time limit that ends in time", 6000, 4100, 1600, false),
-		Entry("late, with a time limit that ends too late", 6000, 3400, 4000, true),
-		Entry("late, with a time limit that ends in the last milliseconds", 6000, 3400, 2400, true),
-		Entry("late in a long grace period", 10_000, 3100, 8000, true),
-		Entry("in a grace period that is shorter than the first part", 2000, 500, 4000, false),
+		Entry("at once, whatever the time limit", 6000, 0, 12_000, 610, false),
+		Entry("at once, what takes longer than the grace period", 6000, 0, 12_000, 7000, true),
+		Entry("at once, what may take until a late deadline", 6000, 0, 12_000, 0, true),
+		Entry("while callers learn that it leaves", 6000, 2700, 8000, 1900, false),
+		Entry("while callers learn that it leaves, what takes too long", 6000, 2400, 4000, 3500, true),
+		Entry("late, with a time limit that ends in time", 6000, 4100, 1600, 0, false),
+		Entry("late, with a time limit that ends in time, whatever the work", 6000, 4100, 1600, 7000, false),
+		Entry("late, with a time limit that ends too late", 6000, 3400, 4000, 0, true),
+		Entry("late, with a time limit that ends too late but short work", 6000, 3400, 4000, 1000, false),
+		Entry("late, with a time limit that ends in the last milliseconds", 6000, 3400, 2400, 0, true),
+		Entry("late in a long grace period", 10_000, 3100, 8000, 0, true),
+		Entry("in a short grace period, what takes less", 2000, 500, 4000, 1000, false),
+		Entry("in a short grace period, what takes more", 2000, 500, 4000, 1500, true),
 	)
+
+	// leaving makes a host leave whose route takes 0.4 s and must be sent within the
+	// next 0.23 s.
+	leaving := func(w *testHost) {
+		w.host.Settings.Grace = 2000
+		for range 50 {
+			w.host.latencies.Record(w.host.Clock.Now(), "safe", 400)
+		}
+		w.host.leavingAt = w.host.Clock.Now() - 1150
+		w.host.leaving.Store(true)
+	}
+
+	// Guards against a retry that is cut off when the process ends.
+	It("does not try a request again that may last longer than the process", func() {
+		t1, t2 := newStandin("t1", status(500, "")), newStandin("t2", status(500, ""))
+		t1.delay, t2.delay = 300*time.Millisecond, 300*time.Millisecond
+		w := newTestHost(t1, t2)
+		leaving(w)
+		Expect(w.get("/safe/").status).To(Equal(500))
+		Expect(t1.requests() + t2.requests()).To(Equal(1))
+	})
+
+	// Guards against a request that leaves the queue so late that it is cut off when
+	// the process ends.
+	It("refuses a request that has waited too long for a target", func() {
+		t := newStandin("t1", ok)
+		w := newTestHost(t)
+		for taken, picked := 0, true; picked; taken++ {
+			Expect(taken).To(BeNumerically("<", 100))
+			_, picked = w.host.waitForTarget(context.Background(), &pendingPick{service: "s"})
+		}
+		leaving(w)
+		a := w.get("/safe/")
+		Expect(a.status).To(Equal(503))
+		Expect(a.body).To(ContainSubstring("stopping"))
+		Expect(a.header.Get("Retry-After")).To(BeEmpty())
+		Expect(t.requests()).To(Equal(0))
+	})
+
+	// Guards against a signal that comes while a request waits for its connection.
+	It("decides again right before a request is sent", func() {
+		t := newStandin("t1", ok)
+		w := newTestHost(t)
+		c := &call{host: w.host, route: &catalog.Route{Name: "safe", Kind: catalog.Idempotent}, service: "s", deadline: w.host.Clock.Now() + 5000}
+		a := &attempt{call: c, choice: balance.Choice{ID: "t1", Born: 1}}
+		Expect(a.checkWanted()).To(Succeed())
+		leaving(w)
+		w.host.leavingAt -= 1000
+		a.exchange = &forward.Exchange{}
+		err := a.checkWanted()
+		Expect(err).To(HaveOccurred())
+		x, retryable := a.handleFailure(&forward.Failure{NotRun: true, Cause: err})
+		Expect(x.reason).To(Equal(Stopping))
+		Expect(retryable).To(BeFalse())
+	})
+
+	// Guards against a body that arrives so slowly that the process ends first, which
+	// closes the connection without a response.
+	It("refuses a request whose body is not there in time, also if it came before the signal", func() {
+		t := newStandin("t1", ok)
+		w := newTestHost(t)
+		w.host.Settings.Grace = 2000
+		for range 50 {
+			w.host.latencies.Record(w.host.Clock.Now(), "unsafe", 400)
+		}
+		c, _ := w.host.view.current(w.host.Clock.Now())
+		c.Routes[1].Timeout = 9000
+		r, end := io.Pipe()
+		defer end.Close()
+		s := &stopper{w.host, make(chan struct{})}
+		time.AfterFunc(200*time.Millisecond, s.run)
+		start := time.Now()
+		a := w.chunked("/unsafe/", r)
+		Expect(a.status).To(Equal(503))
+		Expect(a.body).To(ContainSubstring("stopping"))
+		Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
+		Expect(t.requests()).To(Equal(0))
+		Eventually(s.done, 5*time.Second).Should(BeClosed())
+	})
 })
