Accept orders to roll out a version and keep them in the log

Cause: nothing knew versions of targets or roll-outs. Change: targets carry the version that they announce. rollouts.start puts an order into the replicated log and rollouts.read reads it behind a current proof. A repeated order has no effect and is acknowledged, one for another version gets 409 while the first is running; a submission is repeated for 2 s while there is no leader. A completed roll-out ends the targets that it replaced, one that is rolled back bans its version. Result: the new specs of catalog, platform and coordinator pass (order kept over a crash of the leader and of all five processes). The spec of a heartbeat now expects its version, which was dropped before.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -26,6 +26,8 @@
 	// ZoneRevisions holds the Sequence at which the last order to evacuate or
 	// restore each zone took effect.
 	ZoneRevisions map[string]uint64 `json:"zoneRevisions,omitempty"`
+	// Rollouts holds the last roll-out of each service.
+	Rollouts map[string]Rollout `json:"rollouts,omitempty"`
 
 	// Config is the last Document that UpdateConfig or Decode parsed without an
 	// error, nil before the first.
@@ -44,7 +46,10 @@
 
 // New returns an empty state that parses documents with translate.
 func New(translate func([]byte) (*Config, error)) *State {
-	return &State{Targets: map[string]Target{}, EvacuatedZones: map[string]bool{}, ZoneRevisions: map[string]uint64{}, Translate: translate}
+	return &State{
+		Targets: map[string]Target{}, EvacuatedZones: map[string]bool{}, ZoneRevisions: map[string]uint64{},
+		Rollouts: map[string]Rollout{}, Translate: translate,
+	}
 }
 
 // Apply applies a change. Call UpdateConfig before Config is used: of many
@@ -71,6 +76,12 @@
 	for _, t := range c.Targets {
 		s.put(t)
 	}
+	if c.Order != nil {
+		s.order(*c.Order)
+	}
+	if c.Step != nil {
+		s.step(*c.Step)
+	}
 	return nil
 }
 
@@ -84,9 +95,13 @@
 	return true
 }
 
-// Superseded reports whether the zone orders of the change that was applied last
-// had no effect, because another order for the zone came first.
+// Superseded reports whether the order of the change that was applied last had no
+// effect: another order for the zone came first, or a roll-out of the service to
+// another version is running.
 func (s *State) Superseded(c Change) bool {
+	if c.Order != nil {
+		return s.Rollouts[c.Order.Service].Version != c.Order.Version
+	}
 	zone := c.Evacuate + c.Restore
 	return zone != "" && s.ZoneRevisions[zone] != s.Sequence
 }
@@ -144,6 +159,9 @@
 	if o, ok := s.Targets[t.ID]; ok && (!o.Older(t) || t.contradicts(o)) {
 		return
 	}
+	if s.Rollouts[t.Service].retires(t) {
+		t.Phase = Gone
+	}
 	if t.Phase == Serving && !t.Unlisted {
 		for id, o := range s.Targets {
 			if o.Addr != t.Addr || id == t.ID || o.Phase == Gone || o.Unlisted {
@@ -184,6 +202,16 @@
 	return true
 }
 
+// sortedNames returns the keys of a set in order.
+func sortedNames(m map[string]bool) []string {
+	l := make([]string, 0, len(m))
+	for n := range m {
+		l = append(l, n)
+	}
+	sort.Strings(l)
+	return l
+}
+
 // prune drops the half of the gone targets that started first if there are more
 // than pruneAbove targets. Every replica must drop the same ones, so targets
 // that started at the same time are ordered by ID.
--- a/catalog/target.go
+++ b/catalog/target.go
@@ -22,6 +22,8 @@
 	Service string
 	Addr    string
 	Zone    string
+	// Version is the version of its software, empty if unknown.
+	Version string `json:",omitempty"`
 	// Born is when the process started, in Unix milliseconds. It orders the
 	// incarnations of one ID.
 	Born int64
@@ -52,5 +54,5 @@
 func (t Target) Differs(u Target) bool {
 	cold := (t.Cold > 0) != (u.Cold > 0)
 	return t.Born != u.Born || t.Phase != u.Phase || t.Addr != u.Addr || t.Service != u.Service ||
-		t.Zone != u.Zone || t.Slots != u.Slots || t.Unlisted != u.Unlisted || cold
+		t.Zone != u.Zone || t.Slots != u.Slots || t.Unlisted != u.Unlisted || t.Version != u.Version || cold
 }
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -194,12 +194,14 @@
 	Led  bool
 }
 
-// currentDocument is the configuration in force and the revisions of the zones.
+// currentDocument is the configuration in force, the revisions of the zones and the
+// last roll-outs by service.
 // Document is compressed, and nil if there is no configuration.
 type currentDocument struct {
 	Version       uint64
 	Document      []byte
 	ZoneRevisions map[string]uint64
+	Rollouts      map[string]catalog.Rollout
 }
 
 // announcementReply says whether an announcement must be proposed, and whether its
--- a/coordinator/operations.go
+++ b/coordinator/operations.go
@@ -50,6 +50,9 @@
 
 // outcome returns the error of a change that was accepted.
 func outcome(x catalog.Change, p ProposeReply) error {
+	if p.Superseded && x.Order != nil {
+		return errors.WithStack(RolloutConflict{x.Order.Service})
+	}
 	if p.Superseded {
 		return errors.WithStack(Superseded{x.Evacuate + x.Restore})
 	}
--- a/coordinator/proof.go
+++ b/coordinator/proof.go
@@ -75,5 +75,8 @@
 }
 
 func (r *Replica) currentDocument() currentDocument {
-	return currentDocument{Version: r.state.Version, Document: r.state.Document, ZoneRevisions: maps.Clone(r.state.ZoneRevisions)}
+	return currentDocument{
+		Version: r.state.Version, Document: r.state.Document, ZoneRevisions: maps.Clone(r.state.ZoneRevisions),
+		Rollouts: maps.Clone(r.state.Rollouts),
+	}
 }
