Take no part of a response for a whole one, and no invalid status

Cause: (a) The kernel reports a reset of a connection once. If a target answers a long upload early, without a length, and resets the connection, the error goes to the writer of the request and the reader gets a regular end: the caller got the part as a complete response. (b) A status below 100 counted as interim; it was skipped, and the body of the response was taken for the next one. Statuses above 599, and 101 though Upgrade is not forwarded, were passed on. (c) Exchange.Finish closed the connection of a target that had responded early and still read the body.

Change: the end of a response without length counts only if the request has been sent without an error (forward.Reset otherwise). Final statuses are 200 to 599 (forward.InvalidStatus otherwise). Finish waits until the rest of the request has been sent, for as long as the target reads it; after 1 s without progress the connection is closed as before, and the response is delivered.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -44,9 +44,11 @@
 	// Unframed accepts responses that end when the connection is closed.
 	Unframed bool
 
-	conn      *Conn
-	response  *http.Response
-	writeDone chan error
+	conn     *Conn
+	response *http.Response
+	// sent is closed once the request has been sent or sendError is set.
+	sent      chan struct{}
+	sendError error
 	// body is the body of Request, nil if it has none.
 	body *requestBody
 	// sentAt is the time at which the whole request had been sent, in nanoseconds
@@ -94,7 +96,7 @@
 	}
 	e.conn = conn
 	_ = conn.SetDeadline(e.Deadline)
-	e.writeDone = make(chan error, 1)
+	e.sent = make(chan struct{})
 	e.start = time.Now()
 	e.context = ctx
 	if e.Request.Body != nil {
@@ -139,7 +141,8 @@
 	if err == nil && e.FirstByte > 0 {
 		e.setReadDeadline(e.firstByteDeadline())
 	}
-	e.writeDone <- err
+	e.sendError = err
+	close(e.sent)
 }
 
 func (e *Exchange) firstByteDeadline() time.Time {
@@ -175,9 +178,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if r.StatusCode < 200 && r.StatusCode != http.StatusSwitchingProtocols {
+		if interim(r.StatusCode) {
 			continue
 		}
+		if err := checkStatus(r); err != nil {
+			return nil, err
+		}
 		if e.Mismatched != nil && e.Mismatched(r) {
 			if skipped++; skipped > maxMismatched {
 				return nil, MismatchedResponse{}
@@ -192,10 +198,12 @@
 		e.responded = true
 		e.mu.Unlock()
 		e.setReadDeadline(e.Deadline)
-		if e.Unframed {
+		err = checkLength(r)
+		if err != nil && e.Unframed {
+			r.Body = &closeDelimited{r.Body, e}
 			return r, nil
 		}
-		return r, checkLength(r)
+		return r, err
 	}
 }
 
@@ -260,22 +268,18 @@
 	return slots.Refused
 }
 
-// Finish ends an exchange whose response was read to its end. It returns the
-// connection to the pool if the whole request was sent, the target keeps the
-// connection open and no data is left on it.
+// Finish ends an exchange whose response was read to its end. If the target
+// responded early and reads on, it waits until the rest of the request has been sent.
+// It returns the connection to the pool if the whole request was sent, the target
+// keeps the connection open and no data is left on it.
 func (e *Exchange) Finish() {
+	sent, err := e.awaitSent()
 	e.stopInterrupt()
-	select {
-	case err := <-e.writeDone:
-		clean := err == nil && !e.response.Close && e.conn.reader.Buffered() == 0
-		if clean {
-			_ = e.conn.SetDeadline(time.Time{})
-			e.conn.idleLimit = keepAlive(e.response)
-			e.Pool.put(e.conn)
-			return
-		}
-	default:
-		// The target responded before it had received the whole request.
+	if sent && err == nil && !e.response.Close && e.conn.reader.Buffered() == 0 {
+		_ = e.conn.SetDeadline(time.Time{})
+		e.conn.idleLimit = keepAlive(e.response)
+		e.Pool.put(e.conn)
+		return
 	}
 	_ = e.conn.Close()
 }
