Never count a request as not run whose first write is in progress

Cause: the number of bytes sent was counted after the system call of a write. The response may arrive before it returns; if the response is then rejected, forward.Failure said NotRun.

Change: a write counts all its bytes until it has returned.

Result: 'is not zero while a write is in progress' failed before the change (0 bytes for 1 s) and passes after it; a write that sent nothing still counts nothing.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -37,10 +37,13 @@
 	idleLimit clock.Millis
 }
 
-// Write writes b and counts the bytes that the kernel accepted.
+// Write writes b and counts the bytes that the kernel accepted. All of b counts until
+// then: the response may arrive before the system call has returned, and a request
+// that has reached its target must not count as not run.
 func (c *Conn) Write(b []byte) (int, error) {
+	c.written.Add(int64(len(b)))
 	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
+	c.written.Add(int64(n - len(b)))
 	return n, err
 }
 
