--- a/frontend/response.go
+++ b/frontend/response.go
@@ -77,6 +77,11 @@
 	h := c.w.Header()
 	copyHeader(h, r.Header)
 	h.Set(RequestIDHeader, c.id)
+	if c.body.rest != nil {
+		// The target may still read the body, of which net/http would discard a part
+		// before it sends the response. The error is that of a writer without a body.
+		_ = http.NewResponseController(c.w).EnableFullDuplex()
+	}
 	c.w.WriteHeader(r.StatusCode)
 	n, err := io.Copy(c.w, r.Body)
 	c.handler.Usage.Served(c.account, c.route.Prefix, n)
