Give the specs of a leaving host more time on a busy machine

Cause: the specs had 0.1 to 0.23 s for a request to arrive; a busy machine may take longer, and the result would be another one than the case wants.

Change: a second for the retry, 0.25 s for the queue (whose standing limit of 0.4 s would refuse by itself; a later arrival gives the same result), and 0.3 s before the listener closes in the planned stop (5.2 s instead of 5.4 s after the signal).

Without the check in the queue its spec gives targetsFull instead of stopping; with the decision on arrival only the specs of the retry and of the last check fail.

--- a/edge/planned_stop_test.go
+++ b/edge/planned_stop_test.go
@@ -84,7 +84,7 @@
 		Expect(send(0, 0, 0, 0, 0, 0)).To(HaveEach(200))
 		s := &stoppedHost{w.host, make(chan struct{})}
 		go s.run()
-		got := send(0, 1000, 2400, 2450, 2500, 2550, 2600, 2650, 4000, 5400)
+		got := send(0, 1000, 2400, 2450, 2500, 2550, 2600, 2650, 4000, 5200)
 		Eventually(s.done, 10*time.Second).Should(BeClosed())
 		Expect(got).To(Equal([]int{200, 200, 503, 503, 503, 503, 503, 503, 503, 503}))
 		Expect(t.requests()).To(Equal(8))
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -177,20 +177,22 @@
 	)
 
 	// leaving makes a host leave whose route takes 0.4 s and must be sent within the
-	// next 0.23 s.
+	// next second. The objective is so late that there are no hedges.
 	leaving := func(w *testHost) {
-		w.host.Settings.Grace = 2000
+		w.host.Settings.Grace = 6000
+		c, _ := w.host.view.current(w.host.Clock.Now())
+		c.Routes[0].Objective = 6000
 		for range 50 {
 			w.host.latencies.Record(w.host.Clock.Now(), "safe", 400)
 		}
-		w.host.leavingAt = w.host.Clock.Now() - 1150
+		w.host.leavingAt = w.host.Clock.Now() - 4380
 		w.host.leaving.Store(true)
 	}
 
 	// Guards against a retry that is cut off when the process ends.
 	It("does not try a request again that may last longer than the process", func() {
 		t1, t2 := newStandin("t1", status(500, "")), newStandin("t2", status(500, ""))
-		t1.delay, t2.delay = 300*time.Millisecond, 300*time.Millisecond
+		t1.delay, t2.delay = 1200*time.Millisecond, 1200*time.Millisecond
 		w := newTestHost(t1, t2)
 		leaving(w)
 		Expect(w.get("/safe/").status).To(Equal(500))
@@ -207,6 +209,8 @@
 			_, picked = w.host.waitForTarget(context.Background(), &pendingPick{service: "s"})
 		}
 		leaving(w)
+		// A queue that stands for 0.4 s refuses requests by itself.
+		w.host.leavingAt -= 750
 		a := w.get("/safe/")
 		Expect(a.status).To(Equal(503))
 		Expect(a.body).To(ContainSubstring("stopping"))
@@ -222,7 +226,7 @@
 		a := &attempt{call: c, choice: balance.Choice{ID: "t1", Born: 1}}
 		Expect(a.checkWanted()).To(Succeed())
 		leaving(w)
-		w.host.leavingAt -= 1000
+		w.host.leavingAt -= 2000
 		a.exchange = &forward.Exchange{}
 		err := a.checkWanted()
 		Expect(err).To(HaveOccurred())
