--- a/edge/send.go
+++ b/edge/send.go
@@ -45,6 +45,8 @@
 			if b := c.hedge(); b != nil {
 				running = append(running, b)
 				go b.run(done)
+			} else if c.mayHedgeLater() {
+				hedgeTimer.Reset(hedgeRetryInterval.Duration())
 			}
 			continue
 		case <-overdueTimer.C:
@@ -90,6 +92,18 @@
 	return c.again(nil, true)
 }
 
+// hedgeRetryInterval is how long after a hedge that found no free slot or retry the
+// next one is tried. Targets respond within some hundred milliseconds, so that slots
+// become free in that time.
+const hedgeRetryInterval = 250 * clock.Millis(1)
+
+// mayHedgeLater reports whether a hedge that cannot start now may start later. A
+// request at a target that does not respond would otherwise wait for its deadline.
+func (c *call) mayHedgeLater() bool {
+	return c.idempotent() && c.replayable() && c.context.Err() == nil &&
+		c.attempts-int(c.unsent.Load()) < max(c.route.Attempts, 1) && c.attempts < maxAttempts
+}
+
 // again returns another attempt if one is allowed and a target has capacity for it,
 // else nil.
 func (c *call) again(after *attempt, hedge bool) *attempt {
