--- /dev/null
+++ b/hedge/hedge_suite_test.go
@@ -0,0 +1,13 @@
+package hedge
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestHedge(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hedge")
+}
