Read the share of requests that may be hedged

A service without a value has that of the settings; an explicit 0 overrides it, so the field is a pointer.

The new entries need the new fields; a share above 1 was accepted before, since the field was ignored.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -276,6 +276,8 @@
 		Entry("a negative burst", func(c *Config) { c.Accounts[0].Burst = -1 }),
 		Entry("a warm-up rate that is too large", func(c *Config) { c.Services[0].WarmUpRate = 1e300 }),
 		Entry("a negative warm-up", func(c *Config) { c.Services[0].WarmUp = -1 }),
+		Entry("a share of hedges above 1", func(c *Config) { x := 1.01; c.Services[0].Hedge = &x }),
+		Entry("a share of hedges that is not a number", func(c *Config) { x := math.NaN(); c.Services[0].Hedge = &x }),
 		Entry("no parts", func(c *Config) { c.Routes[0].Parts = nil }),
 		Entry("prefix without a leading slash", func(c *Config) { c.Routes[0].Prefix = "a/" }),
 		Entry("no prefix", func(c *Config) { c.Routes[0].Prefix = "" }),
--- a/catalog/config.go
+++ b/catalog/config.go
@@ -69,6 +69,10 @@
 	// WarmUpRate is the number of requests a second that one target can handle
 	// during its warm-up.
 	WarmUpRate float64
+	// Hedge is the share of the service's requests, from 0 to 1, that may be sent to
+	// a second target because the first one is slow; nil for the share in the
+	// settings of the hosts.
+	Hedge *float64
 }
 
 // Account is a client account. Callers identify it by any of its Keys.
--- a/catalog/validate.go
+++ b/catalog/validate.go
@@ -80,6 +80,9 @@
 	if s.WarmUp < 0 || s.WarmUp > maxTime || !(s.WarmUpRate >= 0 && s.WarmUpRate <= maxRate) {
 		return Invalid{"service " + s.Name, "has a warm-up that is out of range"}
 	}
+	if s.Hedge != nil && !(*s.Hedge >= 0 && *s.Hedge <= 1) {
+		return Invalid{"service " + s.Name, "has a share of hedges that is not from 0 to 1"}
+	}
 	return nil
 }
 
