Hedge slow requests within the limit of their service

Cause: the present rule hedges by an average and takes retries for it; operators cannot bound or extend it.

Change: in a service with a limit, send asks package hedge. The host records the latencies of responses by route, also how long attempts took that a hedge overtook. Retries there are counted together with hedges. Counters hedges and hedgeShare, log line hedge, at most 5 a second. Services without a limit keep the present rule.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -33,6 +33,8 @@
 	superseded, overdue atomic.Bool
 	// charged is true if the attempt was taken from the retry budget.
 	charged bool
+	// hedge is true if the attempt is a hedge.
+	hedge bool
 	// notice is what the target has said of itself in the response.
 	notice balance.Notice
 	// If failure is nil, there is a complete response. retryable reports whether
@@ -275,6 +277,7 @@
 	case balance.Broken:
 		c.host.poison.checkCrash(c.fingerprint(), a.choice.ID, a.choice.Addr)
 	}
+	a.recordSuperseded(now, o)
 	healthChanged := c.host.view.attemptDone(now, c.service, a.choice.ID, r)
 	c.host.metrics.countAttempt(c.service, o)
 	if o == balance.Served && !a.choice.Probe {
--- a/edge/host.go
+++ b/edge/host.go
@@ -38,6 +38,7 @@
 	gossip  *gossip
 	// poison detects requests that crash their targets.
 	poison      *poisonDetector
+	hedger      hedger
 	targetConns *forward.Pool
 	// requestBuffers and responseBuffers bound the memory for bodies.
 	requestBuffers, responseBuffers *bodyBudget
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -14,6 +14,10 @@
 	// notices counts by service the responses in which targets said that they leave
 	// or want a pause.
 	notices *expvar.Map
+	// hedges counts slow requests by service and reason for or against a hedge, and
+	// the hedges whose responses callers got as won. hedgeShare is the share of hedges
+	// by service. Both have only services with a limit.
+	hedges, hedgeShare *expvar.Map
 	// checks counts health checks by service and result.
 	checks *expvar.Map
 	// bytes counts bytes sent: observations as nearEvidence (within the local
@@ -24,13 +28,15 @@
 }
 
 func newMetrics() *metrics {
-	m := &metrics{responses: new(expvar.Map), refusals: new(expvar.Map), attempts: new(expvar.Map), checks: new(expvar.Map), notices: new(expvar.Map), bytes: new(expvar.Map)}
+	m := &metrics{responses: new(expvar.Map), refusals: new(expvar.Map), attempts: new(expvar.Map), checks: new(expvar.Map), notices: new(expvar.Map), hedges: new(expvar.Map), hedgeShare: new(expvar.Map), bytes: new(expvar.Map)}
 	if expvar.Get("answers") == nil {
 		expvar.Publish("answers", m.responses)
 		expvar.Publish("refusals", m.refusals)
 		expvar.Publish("attempts", m.attempts)
 		expvar.Publish("checks", m.checks)
 		expvar.Publish("notices", m.notices)
+		expvar.Publish("hedges", m.hedges)
+		expvar.Publish("hedgeShare", m.hedgeShare)
 		expvar.Publish("bytes", m.bytes)
 		expvar.Publish("latencyMs", expvar.Func(m.latency.summary))
 	}
--- a/edge/notice.go
+++ b/edge/notice.go
@@ -110,7 +110,7 @@
 	c := a.call
 	c.unsent.Add(1)
 	if a.charged {
-		c.host.view.refundRetry(c.service)
+		c.host.refundRetry(c.service)
 	}
 	a.finish(balance.Cancelled)
 	return &refusal{NoTarget, http.StatusServiceUnavailable, retryAfterFull, cause.Error()}, true
--- a/edge/send.go
+++ b/edge/send.go
@@ -34,7 +34,8 @@
 	running = append(running, a)
 	first := a
 	go a.run(done)
-	hedgeTimer := time.NewTimer(c.hedgeDelay().Duration())
+	plan := c.planHedge()
+	hedgeTimer := time.NewTimer(plan.delay.Duration())
 	defer hedgeTimer.Stop()
 	overdueTimer := time.NewTimer(c.overdueAfter().Duration())
 	defer overdueTimer.Stop()
@@ -42,7 +43,7 @@
 	for {
 		select {
 		case <-hedgeTimer.C:
-			if b := c.hedge(); b != nil {
+			if b := c.hedge(plan); b != nil {
 				running = append(running, b)
 				go b.run(done)
 			} else if c.mayHedgeLater() {
@@ -60,6 +61,9 @@
 		running = without(running, a)
 		if a.failure == nil && !a.retryable {
 			cancelSuperseded(running)
+			if plan.limit > 0 {
+				a.countWon()
+			}
 			return a, nil
 		}
 		if a.failure == nil {
@@ -85,10 +89,13 @@
 
 // hedge returns another attempt to run in parallel with a slow one, or nil if
 // none is allowed or no target has a free slot.
-func (c *call) hedge() *attempt {
+func (c *call) hedge(p hedgePlan) *attempt {
 	if !c.idempotent() {
 		return nil
 	}
+	if p.limit > 0 {
+		return c.hedgeWithin(p)
+	}
 	return c.again(nil, true)
 }
 
@@ -114,11 +121,11 @@
 	b, x := c.newAttempt(after, hedge)
 	if x != nil {
 		if charged {
-			c.host.view.refundRetry(c.service)
+			c.host.refundRetry(c.service)
 		}
 		return nil
 	}
-	b.charged = charged
+	b.charged, b.hedge = charged, hedge
 	return b
 }
 
@@ -167,25 +174,31 @@
 	return hedgeDelay(average, 0)
 }
 
+// mayAttempt reports whether the time and the route allow another attempt. Attempts
+// that sent nothing to their targets do not count.
+func (c *call) mayAttempt() bool {
+	if c.context.Err() != nil || c.remaining() <= 0 || !c.replayable() {
+		return false
+	}
+	unsent := int(c.unsent.Load())
+	return c.attempts-unsent < max(c.route.Attempts, 1) && c.attempts < maxAttempts
+}
+
 // mayRetry reports whether another attempt is allowed, and takes it from the
 // retry budget, which charged reports. Attempts that sent nothing to their targets
 // do not count: while there are no others, the budget is not used. Nor is it used
 // while no target accepts requests.
 func (c *call) mayRetry() (ok, charged bool) {
-	if c.context.Err() != nil || c.remaining() <= 0 || !c.replayable() {
-		return false, false
-	}
-	unsent := int(c.unsent.Load())
-	if c.attempts-unsent >= max(c.route.Attempts, 1) || c.attempts >= maxAttempts {
+	if !c.mayAttempt() {
 		return false, false
 	}
 	if c.host.view.closed(c.host.Clock.Now(), c.service) {
 		return false, false
 	}
-	if c.attempts == unsent {
+	if c.attempts == int(c.unsent.Load()) {
 		return true, false
 	}
-	ok = c.host.view.takeRetry(c.service)
+	ok = c.host.takeRetry(c.service)
 	return ok, ok
 }
 
