Try hedges within a limit again, as the present rule does

Cause: the present rule now tries a refused hedge again every 250 ms; within a limit a request at a silent target would have waited for its deadline.

Change: a refused hedge is tried again; the request counts as slow once, and only the first refusal is counted and logged. A hedge that a stopping host refuses is counted as stopping.

Result: go test ./hedge ./edge passes.

--- a/edge/hedging.go
+++ b/edge/hedging.go
@@ -32,6 +32,8 @@
 	limit float64
 	delay clock.Millis
 	times hedge.Times
+	// tried is true once a hedge was refused.
+	tried bool
 }
 
 // hedgeLimit returns the share of a service's requests that may be hedged, 0 if none
@@ -75,18 +77,18 @@
 }
 
 // planHedge counts a request that has got its first attempt and plans its hedge.
-func (c *call) planHedge() hedgePlan {
+func (c *call) planHedge() *hedgePlan {
 	h := c.host
 	now := h.Clock.Now()
 	h.hedger.mu.Lock()
 	defer h.hedger.mu.Unlock()
 	b := h.hedgeBudget(c.service)
 	if b == nil {
-		return hedgePlan{delay: c.hedgeDelay()}
+		return &hedgePlan{delay: c.hedgeDelay()}
 	}
 	b.CountRequest(now)
 	h.metrics.setHedgeShare(c.service, b.Counts(now).Share())
-	p := hedgePlan{limit: b.Limit, delay: c.route.Objective}
+	p := &hedgePlan{limit: b.Limit, delay: c.route.Objective}
 	if !c.idempotent() {
 		return p
 	}
@@ -98,11 +100,12 @@
 }
 
 // hedgeWithin returns another attempt to run in parallel with a slow one if the limit
-// of the service allows it and a target has a free slot, else nil.
-func (c *call) hedgeWithin(p hedgePlan) *attempt {
+// of the service allows it and a target has a free slot, else nil. It may be called again
+// then.
+func (c *call) hedgeWithin(p *hedgePlan) *attempt {
 	h := c.host
 	now := h.Clock.Now()
-	q := hedge.Request{Attempts: c.mayAttempt(), Remaining: c.remaining(), Times: p.times}
+	q := hedge.Request{Again: p.tried, Attempts: c.mayAttempt(), Remaining: c.remaining(), Times: p.times}
 	q.Closed, q.Queued = h.view.congested(now, c.service)
 	d, ok := h.decideHedge(now, c.service, q)
 	if !ok {
@@ -113,13 +116,19 @@
 		var x *refusal
 		if a, x = c.newAttempt(nil, true); x != nil {
 			a, d.Reason = nil, hedge.NoFreeSlot
+			if x.reason != TargetsFull {
+				d.Reason = hedge.Reason(x.reason)
+			}
 			h.cancelHedge(now, c.service)
 		} else {
 			a.hedge = true
 		}
 	}
-	h.metrics.hedges.Add(c.service+"."+string(d.Reason), 1)
-	h.logHedge(now, c, p, d)
+	if !p.tried || a != nil {
+		h.metrics.hedges.Add(c.service+"."+string(d.Reason), 1)
+		h.logHedge(now, c, p, d)
+	}
+	p.tried = true
 	return a
 }
 
@@ -222,7 +231,7 @@
 	return omitted, true
 }
 
-func (h *Host) logHedge(now clock.Millis, c *call, p hedgePlan, d hedge.Decision) {
+func (h *Host) logHedge(now clock.Millis, c *call, p *hedgePlan, d hedge.Decision) {
 	omitted, ok := h.hedger.mayLog(now)
 	if !ok {
 		return
--- a/edge/hedging_load_test.go
+++ b/edge/hedging_load_test.go
@@ -75,7 +75,7 @@
 type hedgeCall struct {
 	*call
 	pick    *pendingPick
-	plan    hedgePlan
+	plan    *hedgePlan
 	running []*attempt
 	done    bool
 }
@@ -169,15 +169,7 @@
 	s.requests = append(s.requests, s.now)
 	c.plan = c.planHedge()
 	s.send(c, a)
-	s.after(c.plan.delay, func() {
-		if c.done {
-			return
-		}
-		if b := c.hedge(c.plan); b != nil {
-			s.extra = append(s.extra, s.now)
-			s.send(c, b)
-		}
-	})
+	s.after(c.plan.delay, func() { s.hedge(c) })
 	s.after(c.overdueAfter(), func() {
 		if !c.done && slices.Contains(c.running, a) {
 			c.host.view.overdue(s.now, "s", x.ID)
@@ -185,6 +177,19 @@
 	})
 }
 
+// hedge hedges a slow request, or tries again later.
+func (s *hedgeSimulation) hedge(c *hedgeCall) {
+	if c.done {
+		return
+	}
+	if b := c.hedge(c.plan); b != nil {
+		s.extra = append(s.extra, s.now)
+		s.send(c, b)
+	} else if c.mayHedgeLater() {
+		s.after(hedgeRetryInterval, func() { s.hedge(c) })
+	}
+}
+
 // send makes a target work on a request once it has a free slot. Of 100 requests one
 // takes twice as long. It ends at the deadline.
 func (s *hedgeSimulation) send(c *hedgeCall, a *attempt) {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -14,8 +14,8 @@
 	// notices counts by service the responses in which targets said that they leave
 	// or want a pause.
 	notices *expvar.Map
-	// hedges counts slow requests by service and reason for or against a hedge, and
-	// the hedges whose responses callers got as won. hedgeShare is the share of hedges
+	// hedges counts slow requests by service and reason: the first one against a hedge,
+	// and started for each hedge. Hedges whose responses callers got count as won. hedgeShare is the share of hedges
 	// by service. Both have only services with a limit.
 	hedges, hedgeShare *expvar.Map
 	// checks counts health checks by service and result.
--- a/edge/send.go
+++ b/edge/send.go
@@ -89,7 +89,7 @@
 
 // hedge returns another attempt to run in parallel with a slow one, or nil if
 // none is allowed or no target has a free slot.
-func (c *call) hedge(p hedgePlan) *attempt {
+func (c *call) hedge(p *hedgePlan) *attempt {
 	if !c.idempotent() {
 		return nil
 	}
--- a/hedge/budget.go
+++ b/hedge/budget.go
@@ -48,6 +48,8 @@
 
 // Request is a request whose attempt has exceeded the hedge delay.
 type Request struct {
+	// Again is true if the request was refused a hedge before.
+	Again bool
 	// Attempts is true if one more attempt is allowed.
 	Attempts bool
 	// Remaining is the time until the deadline.
@@ -98,7 +100,9 @@
 // Decide decides whether a slow request is hedged. If so, the hedge is taken from the
 // budget; Cancel returns it if it finds no target.
 func (b *Budget) Decide(now clock.Millis, r Request) Decision {
-	b.window.current(now).Slow++
+	if !r.Again {
+		b.window.current(now).Slow++
+	}
 	d := Decision{Credit: b.credit, Counts: b.window.counts(now)}
 	d.Reason = b.reason(r, d.Counts)
 	if d.Reason == Started {
--- a/hedge/budget_test.go
+++ b/hedge/budget_test.go
@@ -101,6 +101,14 @@
 		Entry("if requests wait", func(r *Request) { r.Queued = true }, Waiting),
 	)
 
+	It("counts a request as slow once, however often its hedge is tried", func() {
+		b, now := filled(100)
+		for _, again := range []bool{false, true, true} {
+			b.Decide(now, Request{Again: again})
+		}
+		Expect(b.Counts(now).Slow).To(Equal(1))
+	})
+
 	It("refuses hedges while most requests are slow, for which a second target is as slow", func() {
 		b, now := filled(100)
 		for range 51 {
