--- a/balance/notice.go
+++ b/balance/notice.go
@@ -54,6 +54,9 @@
 	if t.leaving || t.Phase != catalog.Serving {
 		return TargetLeaving{id}
 	}
+	if p.rollout.Bans(t.Target) || p.replaced(t) {
+		return VersionWithdrawn{id, t.Version}
+	}
 	if now < t.pausedUntil {
 		return TargetPaused{id, t.pausedUntil - now}
 	}
@@ -66,6 +69,13 @@
 // Error names the target.
 func (e TargetLeaving) Error() string { return e.ID + " is leaving" }
 
+// VersionWithdrawn is the error of a request to a target whose version gets no
+// requests any more because of a roll-out.
+type VersionWithdrawn struct{ ID, Version string }
+
+// Error names the target and its version.
+func (e VersionWithdrawn) Error() string { return e.ID + " has the withdrawn version " + e.Version }
+
 // TargetPaused is the error of a request to a target that wants none for the time
 // Left.
 type TargetPaused struct {
@@ -79,7 +89,7 @@
 // inUse reports whether a target accepts requests at all, apart from its health, its
 // load and pauses.
 func (p *Pool) inUse(t *target) bool {
-	return !t.misdirected && !t.leaving && t.Phase == catalog.Serving && !p.evacuated[t.Zone]
+	return !t.misdirected && !t.leaving && t.Phase == catalog.Serving && !p.evacuated[t.Zone] && !p.rollout.Bans(t.Target)
 }
 
 // Closed reports whether no target can accept a request now because all are leaving,
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -43,6 +43,8 @@
 	hasProbes      bool
 	// anyHealthy is true if any target that accepts requests is healthy.
 	anyHealthy bool
+	// rollout is the last roll-out of the service.
+	rollout catalog.Rollout
 }
 
 // Request describes a request that needs a target.
@@ -57,13 +59,23 @@
 	FreeSlotOnly bool
 	// Avoid holds the IDs of the targets that were tried before.
 	Avoid []string
+	// Sample is drawn once for a request, evenly from [0, 1): during a roll-out, the
+	// request goes to the new version if it is below the share. Repeated is true for
+	// requests that were sent before.
+	Sample   float64
+	Repeated bool
+
+	side side
 }
 
 // Choice is a target that was chosen.
 type Choice struct {
 	ID, Addr, Zone string
-	// Born is the start of the incarnation that was chosen.
-	Born int64
+	// Born is the start of the incarnation that was chosen, Version its version. Cold
+	// is true during its warm-up.
+	Born    int64
+	Version string
+	Cold    bool
 	// Probe is true if the target is unhealthy, Owned if this host is one of its
 	// owners.
 	Probe, Owned bool
@@ -150,7 +162,7 @@
 
 // usable reports whether a request may be sent to t now.
 func (p *Pool) usable(now clock.Millis, t *target, a Request) bool {
-	if !p.inUse(t) || now < t.pausedUntil {
+	if !p.inUse(t) || now < t.pausedUntil || !p.onSide(t, a) {
 		return false
 	}
 	for _, id := range a.Avoid {
@@ -196,6 +208,21 @@
 // must call Done at its end. Pick returns false if no target can handle it now.
 func (p *Pool) Pick(now clock.Millis, a Request) (Choice, bool) {
 	p.updateAnyHealthy()
+	for _, a.side = range p.sides(a) {
+		if c, ok := p.pick(now, a); ok {
+			return c, true
+		}
+	}
+	return Choice{}, false
+}
+
+// pick chooses a target of a side.
+func (p *Pool) pick(now clock.Millis, a Request) (Choice, bool) {
+	if a.side == newSide {
+		// No request waits at a target of the new version for another one.
+		a.FreeSlotOnly = true
+		p.updateTrials()
+	}
 	var t *target
 	if a.Idempotent && a.Retryable {
 		p.probeRequestAt, p.hasProbes = now, true
@@ -207,7 +234,7 @@
 	if t == nil {
 		return Choice{}, false
 	}
-	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Born: t.Born, Probe: t.successesNeeded > 0, Owned: t.owned, InFlight: t.totalInFlight(now), SinceAccepted: now - t.lastAcceptedAt(now)}
+	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Born: t.Born, Version: t.Version, Cold: t.cold(now), Probe: t.successesNeeded > 0, Owned: t.owned, InFlight: t.totalInFlight(now), SinceAccepted: now - t.lastAcceptedAt(now)}
 	t.inFlight++
 	t.changed = true
 	t.start(now)
