Carry out roll-outs: hosts report counts, the leader takes steps

Cause: an order stayed without effect. Change: hosts count the responses of each version and report them with their exchanges; control processes pass them on to the leader, which writes the next step to the log. Hosts obey the step that they hold, also for requests that are already placed. Bounds come from exposureShare, exposureSlack, rollbackMs and revocationMs.

--- a/balance/notice.go
+++ b/balance/notice.go
@@ -54,7 +54,7 @@
 	if t.leaving || t.Phase != catalog.Serving {
 		return TargetLeaving{id}
 	}
-	if p.rollout.Bans(t.Target) || p.replaced(t) {
+	if t.banned || p.replaced(t) {
 		return VersionWithdrawn{id, t.Version}
 	}
 	if now < t.pausedUntil {
@@ -89,7 +89,7 @@
 // inUse reports whether a target accepts requests at all, apart from its health, its
 // load and pauses.
 func (p *Pool) inUse(t *target) bool {
-	return !t.misdirected && !t.leaving && t.Phase == catalog.Serving && !p.evacuated[t.Zone] && !p.rollout.Bans(t.Target)
+	return !t.misdirected && !t.leaving && t.Phase == catalog.Serving && !p.evacuated[t.Zone] && !t.banned
 }
 
 // Closed reports whether no target can accept a request now because all are leaving,
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -119,6 +119,7 @@
 			t.coldUntil = now
 		}
 		t.Target = c
+		t.banned = p.rollout.Bans(c)
 	}
 	for id, t := range p.targets {
 		if !seen[id] {
--- a/balance/target.go
+++ b/balance/target.go
@@ -83,6 +83,8 @@
 	// starts holds the times at which this host sent requests in the last second, and
 	// the last one before.
 	starts []clock.Millis
+	// banned is true if its version was rolled back.
+	banned bool
 	// trial is true if the target gets requests while its version has a small share.
 	trial bool
 	// changed is true if the target changed after the last call of TakeChanges.
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -79,6 +79,7 @@
 	if err := c.server.Run(); err != nil {
 		return err
 	}
+	c.publishRollouts()
 	go c.loop()
 	go c.reportLoop()
 	go c.restartLoop()
@@ -152,7 +153,7 @@
 
 func (c *Coordinator) newReplica(id string, d replica.PersistentState) *Replica {
 	return &Replica{
-		ID: id, Settings: c.Settings, Clock: c.clock, Log: c.Log, Stored: d, Translate: c.Translate,
+		ID: id, Settings: c.Settings, Clock: c.clock, Wall: c.Wall, Log: c.Log, Stored: d, Translate: c.Translate,
 		Storage: replica.Storage{Save: c.save, SaveSnapshot: c.saveSnapshot},
 		Send:    c.send, Failed: c.fail, LeaderChanged: c.reportNow,
 		Respond: func(p *actor.PID, m any) { c.actors.Root.Send(p, m) },
--- a/coordinator/dump.go
+++ b/coordinator/dump.go
@@ -37,6 +37,7 @@
 	Hosts          int                       `json:"hosts"`
 	Targets        map[string]catalog.Target `json:"targets"`
 	EvacuatedZones map[string]bool           `json:"zonesOut"`
+	Rollouts       map[string]RolloutStatus  `json:"rollouts"`
 }
 
 func (r *Replica) dump(now clock.Millis) Dump {
@@ -53,5 +54,6 @@
 		ID: r.ID, Role: string(r.node.Role()), Term: r.node.Term(), Leader: r.node.LeaderID(),
 		Sequence: r.state.Sequence, Version: r.state.Version, AgeMs: now - r.freshAt,
 		Voters: m.Voters, Learners: m.Learners, Hosts: len(r.fleet.lastFleet.Hosts), Targets: t, EvacuatedZones: z,
+		Rollouts: r.rolloutStatus(),
 	}
 }
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -5,6 +5,7 @@
 
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/rollout"
 )
 
 // pendingExchange is an exchange whose response waits for the first proof.
@@ -77,6 +78,7 @@
 // exchange handles the request of one host and returns the response.
 func (r *Replica) exchange(now clock.Millis, a ExchangeArgs) ExchangeReply {
 	r.fleet.recordHost(now, a.Host)
+	r.recordRollouts(now, rollout.HostReport{Host: a.Host.ID, Instance: a.Instance, Leaving: a.Host.Leaving, Reports: a.Rollouts})
 	r.lender.returnTokens(now, a.Returns)
 	p := ExchangeReply{Known: r.proven, Age: now - r.freshAt, Grants: r.lender.prefetch(now, a.Wants)}
 	// A replica that lags behind must not replace a host's state by an older one.
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -4,6 +4,7 @@
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/replica"
+	"github.com/carawayrack/carawayrack/rollout"
 )
 
 // Host is an entry host as it is listed in a Fleet.
@@ -35,6 +36,10 @@
 	Wants map[string]int
 	// Returns are borrowed tokens that the host did not spend, by account.
 	Returns map[string]int
+	// Rollouts are the host's counts of the running roll-outs, Instance tells its
+	// runs apart.
+	Rollouts []rollout.ServiceReport
+	Instance uint64
 }
 
 // ExchangeReply is the response to ExchangeArgs.
@@ -105,6 +110,8 @@
 	// Wants are the tokens to prefetch, Returns the borrowed tokens that
 	// were not spent, by account.
 	Wants, Returns map[string]int
+	// Rollouts are the counts that hosts have sent since the last report.
+	Rollouts []rollout.HostReport
 }
 
 // ReportReply is the response to ReportArgs. Without Led, only LeaderID, Leader
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -15,9 +15,11 @@
 // Replica is the actor that owns the state of a control process. Its exported
 // fields must be set before it is started.
 type Replica struct {
-	ID        string
-	Settings  Settings
-	Clock     clock.Clock
+	ID       string
+	Settings Settings
+	Clock    clock.Clock
+	// Wall reads the time of day.
+	Wall      clock.Clock
 	Log       *zap.Logger
 	Storage   replica.Storage
 	Stored    replica.PersistentState
@@ -51,7 +53,9 @@
 	freshAt clock.Millis
 	proven  bool
 	fleet   *fleetTable
-	lender  *lender
+	// rollouts holds the counts of the running roll-outs.
+	rollouts *rolloutTable
+	lender   *lender
 	// superseded is the outcome of the last entry applied; see applyData.
 	superseded bool
 	// leaving holds when processes that stop last asked the leader to leave, by
@@ -104,6 +108,7 @@
 		r.node.Tick(now)
 		r.requestProof(now)
 		r.reviewMembers(now)
+		r.reviewRollouts(now)
 	case *deliver:
 		for _, x := range m.Messages {
 			r.node.Step(now, x)
@@ -175,6 +180,8 @@
 	r.leaving = map[string]clock.Millis{}
 	r.fleet = &fleetTable{Settings: r.Settings}
 	r.fleet.run()
+	r.rollouts = &rolloutTable{}
+	r.rollouts.run()
 	r.lender = &lender{}
 	r.lender.run()
 	r.node = &replica.Node{
@@ -231,6 +238,7 @@
 		r.lastRole = role
 		r.lender.setLeading(now, role == replica.Leader, r.state.Config)
 		r.fleet.setLeading(now, role == replica.Leader)
+		r.rollouts.reset()
 		if role != replica.Leader {
 			r.failProposals()
 		}
@@ -273,6 +281,7 @@
 		r.Log.Error("applying a log entry failed", zap.Error(err), zap.Uint64("index", e.Index))
 		return false
 	}
+	r.logRollout(c)
 	x := appliedChange{Sequence: r.state.Sequence, Data: e.Data, Rest: e.Data}
 	if c.Document != nil {
 		x.Rest = withoutDocument(c)
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -18,6 +18,9 @@
 		r.admit(now, a.ID, a.Addr)
 	}
 	p.Held = r.fleet.report(now, a)
+	for _, h := range a.Rollouts {
+		r.recordRollouts(now, h)
+	}
 	p.Fleet, p.FleetChange = r.fleet.history.update(r.fleet.list(now), a.Fleet, a.Deltas)
 	r.lender.returnTokens(now, a.Returns)
 	p.Grants = r.lender.prefetch(now, a.Wants)
@@ -43,6 +46,7 @@
 	p.Args.Wants = r.lender.wants(now)
 	if a := r.leaderAddr(); a != "" {
 		p.To = []string{a}
+		p.Args.Rollouts = r.rollouts.takeRolloutReports(now)
 		p.Args.Returns = r.lender.surplus(now)
 		return p
 	}
--- a/coordinator/settings.go
+++ b/coordinator/settings.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/rollout"
 )
 
 // Settings are the settings of a control process.
@@ -19,6 +20,8 @@
 	Bootstrap bool
 	// Secret authenticates the processes of the fleet to each other.
 	Secret string
+	// Rollouts are the bounds of roll-outs.
+	Rollouts rollout.Settings
 }
 
 // Timing and bounds of the control processes.
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -14,13 +14,16 @@
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/forward"
+	"github.com/carawayrack/carawayrack/rollout"
 	"github.com/carawayrack/carawayrack/slots"
 )
 
 // attempt sends the request of a call to one target.
 type attempt struct {
-	call     *call
-	choice   balance.Choice
+	call   *call
+	choice balance.Choice
+	// counted is the attempt as roll-outs count it.
+	counted  rollout.Attempt
 	exchange *forward.Exchange
 	started  clock.Millis
 	context  context.Context
@@ -103,7 +106,8 @@
 	c := a.call
 	var leaving balance.TargetLeaving
 	var paused balance.TargetPaused
-	if errors.As(f.Cause, &leaving) || errors.As(f.Cause, &paused) {
+	var withdrawn balance.VersionWithdrawn
+	if errors.As(f.Cause, &leaving) || errors.As(f.Cause, &paused) || errors.As(f.Cause, &withdrawn) {
 		return a.turnedAway(f.Cause)
 	}
 	var stopping *refusal
@@ -275,6 +279,7 @@
 	case balance.Broken:
 		c.host.poison.checkCrash(c.fingerprint(), a.choice.ID, a.choice.Addr)
 	}
+	c.host.view.endAttempt(now, a.counted, a.rolloutOutcome(o))
 	healthChanged := c.host.view.attemptDone(now, c.service, a.choice.ID, r)
 	c.host.metrics.countAttempt(c.service, o)
 	if o == balance.Served && !a.choice.Probe {
--- a/edge/control_client.go
+++ b/edge/control_client.go
@@ -40,6 +40,8 @@
 	// leaving reports whether the host is about to stop.
 	leaving func() bool
 
+	// instance tells the runs of this host apart.
+	instance uint64
 	state    *catalog.State
 	fleet    *coordinator.Fleet
 	triggers chan struct{}
@@ -55,6 +57,7 @@
 
 func (l *controlClient) run() {
 	l.state = catalog.New(l.translate)
+	l.instance = rand.Uint64()
 	l.fleet = &coordinator.Fleet{}
 	l.triggers = make(chan struct{}, 1)
 	go l.loop()
@@ -221,6 +224,7 @@
 			Leaving: l.leaving(), Narrow: l.settings.Narrow,
 		},
 		Sequence: l.state.Sequence, Hosts: l.fleet.Digest, Deltas: true, Wants: wants, Returns: returns,
+		Rollouts: l.view.rolloutReports(sent), Instance: l.instance,
 	}
 	var p coordinator.ExchangeReply
 	if err := l.pool.Get(addr).Call("Peer.Exchange", a, &p, exchangeTimeout); err != nil {
--- a/edge/fleet_view.go
+++ b/edge/fleet_view.go
@@ -12,6 +12,7 @@
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
 	"github.com/carawayrack/carawayrack/quota"
+	"github.com/carawayrack/carawayrack/rollout"
 )
 
 // fleetView is what the host knows of the deployment: the catalog, how current
@@ -37,6 +38,8 @@
 	queues       map[string]*balance.Queue
 	// latencies holds the average latency by route.
 	latencies averageLatencies
+	// recorder counts the responses of versions.
+	recorder rollout.Recorder
 	// evacuatedZones are the zones that get no new requests.
 	evacuatedZones map[string]bool
 }
@@ -84,6 +87,7 @@
 			by[n] = nil
 		}
 	}
+	v.setRollouts(s.Rollouts)
 	for n, l := range by {
 		p := v.pool(n)
 		if s.Config != nil {
--- a/edge/send.go
+++ b/edge/send.go
@@ -204,6 +204,8 @@
 		LargeBody:    c.route.Kind == catalog.Upload,
 		Avoid:        c.tried,
 		FreeSlotOnly: hedge,
+		Sample:       c.host.view.rolloutSample(c.service),
+		Repeated:     hedge || len(c.tried) > 0,
 	}
 	p := &pendingPick{
 		service: c.service, request: request, waiter: balance.Waiter{Priority: c.priority(), Since: c.start},
@@ -227,7 +229,7 @@
 	c.attempts++
 	c.host.gossip.scheduleSend()
 	c.host.metrics.countBytes(h.Zone != c.host.Settings.Zone, "Bodies", len(c.body))
-	a := &attempt{call: c, choice: h, started: now}
+	a := &attempt{call: c, choice: h, started: now, counted: c.host.view.beginAttempt(now, c.service, c.route.Name, h)}
 	a.context, a.cancel = context.WithCancel(c.context)
 	return a, nil
 }
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -57,6 +57,10 @@
 	m.rollout, m.stepAt, m.responses = r, now, m.allResponses()
 }
 
+// window returns the age up to which snapshots are kept. The responses of a bad
+// version must fill it well before Rollback has passed.
+func (s Settings) window() clock.Millis { return min(window, s.Rollback/2) }
+
 // Report records a report of a host. Elapsed is the time since the order.
 func (m *Monitor) Report(now, elapsed clock.Millis, h HostReport, r ServiceReport) {
 	if r.Number != m.rollout.Number {
@@ -130,7 +134,7 @@
 	if k := len(m.snapshots); k == 0 || now-m.snapshots[k-1].at >= snapshotInterval {
 		m.snapshots = append(m.snapshots, snapshot{now, t})
 	}
-	for len(m.snapshots) > 1 && now-m.snapshots[1].at >= window {
+	for len(m.snapshots) > 1 && now-m.snapshots[1].at >= s.window() {
 		m.snapshots = m.snapshots[1:]
 	}
 }
--- a/rollout/recorder.go
+++ b/rollout/recorder.go
@@ -8,7 +8,7 @@
 )
 
 // Recorder counts the requests of one host by service, version and route. It is
-// not safe for concurrent use.
+// not safe for concurrent use. The zero value is ready for use.
 type Recorder struct {
 	services map[string]*serviceRecord
 	lastID   uint64
@@ -53,25 +53,36 @@
 // are narrow. A host sends requests to few targets before the last step.
 const maxRows = 128
 
-// Run initializes the recorder.
-func (r *Recorder) Run() { r.services = map[string]*serviceRecord{} }
-
 func (r *Recorder) service(name string) *serviceRecord {
 	s := r.services[name]
 	if s == nil {
+		if r.services == nil {
+			r.services = map[string]*serviceRecord{}
+		}
 		s = &serviceRecord{rows: map[Key]*Counts{}, pending: map[uint64]Attempt{}}
 		r.services[name] = s
 	}
 	return s
 }
 
-// SetRollout sets the roll-out of a service, or the step that it has reached.
-func (r *Recorder) SetRollout(x catalog.Rollout) {
+// Running reports whether a roll-out of a service is running.
+func (r *Recorder) Running(service string) bool {
+	s := r.services[service]
+	return s != nil && s.rollout.State == catalog.RolloutRunning
+}
+
+// SetRollout sets the roll-out of a service, or the step that it has reached. It
+// reports whether that is new.
+func (r *Recorder) SetRollout(x catalog.Rollout) bool {
 	s := r.service(x.Service)
+	if s.rollout.Revision == x.Revision {
+		return false
+	}
 	if s.rollout.Number != x.Number || x.State != catalog.RolloutRunning {
 		s.rows = map[Key]*Counts{}
 	}
 	s.rollout = x
+	return true
 }
 
 // Begin records that a request is sent to a target of a version. Key is the
--- a/rollout/simulation_test.go
+++ b/rollout/simulation_test.go
@@ -107,7 +107,6 @@
 	ids := make([]string, s.hosts)
 	for i := range recorders {
 		recorders[i] = &Recorder{}
-		recorders[i].Run()
 		ids[i] = strconv.Itoa(i)
 	}
 	type learned struct {
