--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -290,7 +290,7 @@
 	if o != balance.Served {
 		c.host.Log.Info("attempt", zap.String("request", c.id), zap.String("target", a.choice.ID),
 			zap.String("service", c.service), zap.String("outcome", o.String()), zap.Int64("tookMs", int64(r.Took)),
-			zap.String("zone", a.choice.Zone), zap.Bool("own", a.choice.Owned), zap.Bool("probe", a.choice.Probe), zap.Int("busy", a.choice.InFlight), zap.Int64("ageMs", int64(a.choice.SinceAccepted)))
+			zap.String("version", a.choice.Version), zap.String("zone", a.choice.Zone), zap.Bool("own", a.choice.Owned), zap.Bool("probe", a.choice.Probe), zap.Int("busy", a.choice.InFlight), zap.Int64("ageMs", int64(a.choice.SinceAccepted)))
 	}
 }
 
