--- a/balance/rollout.go
+++ b/balance/rollout.go
@@ -22,8 +22,9 @@
 
 const (
 	// trialLoad is the load of the new version's targets while it has a small share,
-	// relative to that with all requests: some versions fail under load only.
-	trialLoad = 1.4
+	// relative to that with all requests: some versions fail under load only. With
+	// more load, targets that are well used already would queue requests and look slow.
+	trialLoad = 1.0
 	// minTrialTargets is the smallest number of targets of a zone that get the
 	// requests of a small share: one failing target must not look like a version.
 	minTrialTargets = 2
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -102,13 +102,11 @@
 
 // Totals returns the counts of all hosts.
 func (m *Monitor) Totals() Totals {
-	t := Totals{}
+	l := make([]ServiceReport, 0, len(m.hosts))
 	for _, s := range m.hosts {
-		for _, r := range s.report.Rows {
-			t.Add(r)
-		}
+		l = append(l, s.report)
 	}
-	return t
+	return sum(l)
 }
 
 // Evaluate completes a situation by what the hosts reported. Hosts are the IDs of
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -70,7 +70,7 @@
 	coldUntil    = 0.7
 	// settleUntil is the part of the duration after which a roll-out is completed
 	// although some host has not confirmed the last step.
-	settleUntil = 0.9
+	settleUntil = 0.93
 	// overtime is the part of the duration after its end in which a version that
 	// has half of the requests is still moved on.
 	overtime = 0.2
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -42,13 +42,25 @@
 // Totals are the counts of all hosts.
 type Totals map[Key]Counts
 
-// Add adds a row.
-func (t Totals) Add(r Row) {
-	// Histograms are shared with their rows otherwise.
-	c := Counts{}
-	c.merge(t[r.Key])
-	c.merge(r.Counts)
-	t[r.Key] = c
+// sum returns the totals of reports. Histograms of the result are not shared with
+// them.
+func sum(reports []ServiceReport) Totals {
+	by := map[Key]*Counts{}
+	for _, p := range reports {
+		for _, r := range p.Rows {
+			c := by[r.Key]
+			if c == nil {
+				c = &Counts{}
+				by[r.Key] = c
+			}
+			c.merge(r.Counts)
+		}
+	}
+	t := make(Totals, len(by))
+	for k, c := range by {
+		t[k] = *c
+	}
+	return t
 }
 
 // Since returns what t has beyond o.
@@ -164,20 +176,21 @@
 		}
 	}
 	var l []*scope
+	slow := map[string]int{}
 	for _, s := range by {
 		o := old[s.name]
-		slow := binCount
+		slow[s.name] = binCount
 		if o.Latency.from(0) >= minMedian {
-			slow = o.Latency.median() + slowBins
-		}
-		s.old = rate(o, slow)
-		for k, c := range t {
-			if k.New && k.Route == s.name {
-				s.targets[k.Target] = rate(c, slow)
-			}
+			slow[s.name] = o.Latency.median() + slowBins
 		}
+		s.old = rate(o, slow[s.name])
 		l = append(l, s)
 	}
+	for k, c := range t {
+		if k.New {
+			by[k.Route].targets[k.Target] = rate(c, slow[k.Route])
+		}
+	}
 	sort.Slice(l, func(i, j int) bool { return l[i].name < l[j].name })
 	return l
 }
@@ -219,10 +232,10 @@
 }
 
 func (s *scope) judge() Verdict {
-	var sum, worst sample
+	var total, worst sample
 	seen := 0
 	for _, x := range s.targets {
-		sum.add(x)
+		total.add(x)
 		if x.n > 0 {
 			seen++
 		}
@@ -231,12 +244,12 @@
 		}
 	}
 	base := (float64(s.old.bad) + priorBad) / (float64(s.old.n) + priorResponses)
-	if sum.bad < minBad || sum.evidence(base) < minEvidence {
+	if total.bad < minBad || total.evidence(base) < minEvidence {
 		return Verdict{}
 	}
-	rest := sample{sum.n - worst.n, sum.bad - worst.bad}
+	rest := sample{total.n - worst.n, total.bad - worst.bad}
 	if seen > 1 && (rest.bad < minBadElsewhere || rest.share() < base+minExcess) {
 		return Verdict{}
 	}
-	return Verdict{true, fmt.Sprintf("%s: %d of %d responses are bad, %d of %d of other versions", s.name, sum.bad, sum.n, s.old.bad, s.old.n)}
+	return Verdict{true, fmt.Sprintf("%s: %d of %d responses are bad, %d of %d of other versions", s.name, total.bad, total.n, s.old.bad, s.old.n)}
 }
