Do not hold back targets while many requests are not served

A host now pauses trials only while at most 5 % of its recent requests to the service are not served, refusals by quota included. The new spec fails without it.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -52,8 +52,8 @@
 // lowest cost is picked.
 func (p *Pool) cost(now clock.Millis, t *target, a Request) float64 {
 	c := p.risk(now, t)
-	if !a.Idempotent && t.successesNeeded >= checkedSuccessesNeeded {
-		c = max(c, p.trialRisk(now, t))
+	if !a.Idempotent && t.successesNeeded >= checkedSuccessesNeeded && now < t.failAt+p.trialPause(now, t) {
+		c = costUnhealthy
 	}
 	b, s := t.totalInFlight(now), t.slots()
 	c += costInFlight * float64(b)
--- a/balance/health_check.go
+++ b/balance/health_check.go
@@ -37,6 +37,10 @@
 	// trialStagger is the additional part of the pause for each owner after the
 	// first, so that owners do not try at the same time.
 	trialStagger = 0.25
+	// maxUnservedForPauses is the share of requests that are not served above which
+	// there are no such pauses. While a tenth is not served, the floor of targets in
+	// use binds, and a host sees only a few of the fleet's requests.
+	maxUnservedForPauses = 0.05
 	// checkedSuccessesNeeded is the number of successes that a target still needs
 	// after it has passed enough checks. A health path may report a target as
 	// healthy that fails its requests, so that the last successes must be those of
@@ -98,11 +102,10 @@
 	return true
 }
 
-// trialRisk returns the risk of sending a request that must not be repeated to an
-// unhealthy target whose health path reports no problem: the longer ago its failure,
-// the less likely that it goes on failing.
+// trialRisk returns the risk of a target that needs only the success of a request:
+// the longer ago its failure, the less likely that it goes on failing.
 func (p *Pool) trialRisk(now clock.Millis, t *target) float64 {
-	at := t.failAt + p.trialPause(t)
+	at := t.failAt + p.trialPause(now, t)
 	if now < at {
 		return costUnhealthy
 	}
@@ -111,8 +114,12 @@
 }
 
 // trialPause returns the time after the last failure of a target in which this host
-// sends it no requests that must not be repeated.
-func (p *Pool) trialPause(t *target) clock.Millis {
+// sends it no requests that must not be repeated. It is 0 while too many requests are
+// not served: the targets in use may then be no better.
+func (p *Pool) trialPause(now clock.Millis, t *target) clock.Millis {
+	if p.unserved.share(now) > maxUnservedForPauses {
+		return 0
+	}
 	pause := max(min(t.failAt-t.healthChangedAt, maxTrialPause), minTrialPause)
 	rank := max(slices.Index(t.owners, p.Self), 0)
 	return pause + clock.Millis(trialStagger*float64(rank)*float64(pause))
--- a/balance/health_check_test.go
+++ b/balance/health_check_test.go
@@ -190,6 +190,22 @@
 		// Beyond the requests that find it, a spell costs one request in two.
 		Expect(trials).To(BeNumerically("<=", failing*end/period/2))
 	})
+
+	// Guards against sound targets that get nothing for seconds while a tenth of all
+	// requests is not served.
+	It("do not make requests wait for targets while many are not served", func() {
+		p := unhealthyPool()
+		t := p.targets["a1"]
+		t.successesNeeded, t.checked = checkedSuccessesNeeded, true
+		for range 20 {
+			p.CountOutcome(1000, true)
+		}
+		Expect(p.cost(1000, t, unsafe)).To(BeNumerically(">=", costUnhealthy))
+		for range 3 {
+			p.CountOutcome(1000, false)
+		}
+		Expect(p.cost(1000, t, unsafe)).To(BeNumerically("<", costUnhealthy))
+	})
 })
 
 // openRequest is a request in flight in a simulation.
