Set the limit of hedges on the command line

The platform writes the settings file, so that operators cannot add the bound hedgeRatio there. The flag -hedge of carawayrack edge goes before it; a value outside 0 to 1 ends the process with an error. carawayrack edge -hedge 2 prints that it cannot be used.

--- a/cmd/carawayrack/platform.go
+++ b/cmd/carawayrack/platform.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -28,8 +29,10 @@
 // process holds the flags, settings and log of a process on the users' platform,
 // to which package platform adapts the proxy.
 type process struct {
-	role     string
-	metrics  string
+	role    string
+	metrics string
+	// hedge is the share of requests that hosts may hedge, 0 for that of the settings.
+	hedge    float64
 	log      *zap.Logger
 	settings platform.Settings
 }
@@ -41,9 +44,15 @@
 	f := command.Flags(role, usage)
 	level := f.String("log", "info", "lowest level to log: debug, info, warn or error")
 	f.StringVar(&p.metrics, "metrics", ":9180", "address for metrics and state")
+	if role == "edge" {
+		f.Float64Var(&p.hedge, "hedge", 0, "share of the requests of each service that may be hedged, 0 to 1; 0: that of the settings")
+	}
 	if code, ok := command.Parse(f, args); !ok {
 		return code
 	}
+	if !(p.hedge >= 0 && p.hedge <= 1) {
+		return command.Fail(platform.Unusable{Field: "-hedge", Got: strconv.FormatFloat(p.hedge, 'g', -1, 64)})
+	}
 	var err error
 	if p.log, _, err = logs.NewStream(os.Stdout, *level); err != nil {
 		return command.Fail(err)
@@ -82,8 +91,12 @@
 func runEdge(args []string) int { return runProcess("edge", usageEdge, args, startEdge) }
 
 func startEdge(p *process) (http.HandlerFunc, func(), error) {
+	settings := p.settings.Host()
+	if p.hedge > 0 {
+		settings.HedgeShare = p.hedge
+	}
 	h := &edge.Host{
-		Settings: p.settings.Host(), Headers: platform.Headers(), Clock: clock.Boot(), Log: p.log,
+		Settings: settings, Headers: platform.Headers(), Clock: clock.Boot(), Log: p.log,
 		Translate: platform.Translate, ReadyPath: platform.ReadyPath,
 	}
 	if err := h.Run(); err != nil {
