--- a/balance/rollout_test.go
+++ b/balance/rollout_test.go
@@ -78,7 +78,7 @@
 			pools[e.pool].Done(now, e.id, Result{Outcome: e.o, Took: 400})
 		}
 		delete(ends, now)
-		for r.Float64() < l.rate/1000 {
+		if r.Float64() < l.rate/1000 {
 			x.requests++
 			h := r.Intn(l.hosts)
 			a := Request{Idempotent: r.Intn(2) == 0, Retryable: true, Sample: r.Float64()}
