--- a/balance/cost.go
+++ b/balance/cost.go
@@ -48,38 +48,50 @@
 // failing.
 var costRecovering = [maxSuccessesNeeded + 1]float64{0, 0.06, 0.17, 0.45, costUnhealthy}
 
+// costParts holds the parts of a target's cost by name.
+type costParts map[string]float64
+
+// add adds a part, unless the map is nil, and returns it.
+func (l costParts) add(name string, c float64) float64 {
+	if l != nil {
+		l[name] = c
+	}
+	return c
+}
+
 // cost returns the cost of sending a request to a target; the target with the
-// lowest cost is picked.
-func (p *Pool) cost(now clock.Millis, t *target, a Request) float64 {
+// lowest cost is picked. It adds the parts of the cost to l, which may be nil.
+func (p *Pool) cost(now clock.Millis, t *target, a Request, l costParts) float64 {
 	c := p.risk(now, t)
 	if !a.Idempotent && t.successesNeeded >= checkedSuccessesNeeded {
 		c = max(c, p.trialRisk(now, t))
 	}
+	l.add("risk", c)
 	b, s := t.totalInFlight(now), t.slots()
-	c += costInFlight * float64(b)
+	c += l.add("inFlight", costInFlight*float64(b))
 	if b == s-1 {
-		c += costNearFull
+		c += l.add("nearFull", costNearFull)
 	}
 	if b >= s {
-		c += costQueued * float64(b-s+1) / float64(s)
+		c += l.add("queued", costQueued*float64(b-s+1)/float64(s))
 	}
 	if t.Zone == p.Zone && !t.owned {
-		c += costNotOwned
+		c += l.add("notOwned", costNotOwned)
 	}
 	if t.Zone != p.Zone && p.LargeZone() {
-		c += costRemoteFromLarge
+		c += l.add("remoteFromLargeZone", costRemoteFromLarge)
 	}
 	if t.Zone != p.Zone {
-		c += costRemoteZone
+		c += l.add("remoteZone", costRemoteZone)
 		if a.LargeBody {
-			c += costLargeBody
+			c += l.add("largeBody", costLargeBody)
 		}
 	}
 	if t.cold(now) {
-		c += costCold
+		c += l.add("cold", costCold)
 	}
 	if r := t.latency / max(p.averageLatency, 1); r > 2 {
-		c += min(costSlow*(r-1), costSlowMax)
+		c += l.add("slow", min(costSlow*(r-1), costSlowMax))
 	}
 	return c
 }
--- a/balance/notice.go
+++ b/balance/notice.go
@@ -88,8 +88,21 @@
 
 // inUse reports whether a target accepts requests at all, apart from its health, its
 // load and pauses.
-func (p *Pool) inUse(t *target) bool {
-	return !t.misdirected && !t.leaving && t.Phase == catalog.Serving && !p.evacuated[t.Zone] && !t.banned
+func (p *Pool) inUse(t *target) bool { return p.outOfUse(t) == "" }
+
+// outOfUse returns the reason why a target accepts no requests, "" if it does.
+func (p *Pool) outOfUse(t *target) Obstacle {
+	switch {
+	case t.misdirected:
+		return OtherAddress
+	case t.leaving, t.Phase != catalog.Serving:
+		return Leaving
+	case p.evacuated[t.Zone]:
+		return Evacuated
+	case t.banned:
+		return RolledBack
+	}
+	return ""
 }
 
 // Closed reports whether no target can accept a request now because all are leaving,
--- a/balance/observation.go
+++ b/balance/observation.go
@@ -186,7 +186,7 @@
 		return t != nil
 	}
 	defer p.notifyHealthChange(now, t, t.successesNeeded == 0, Broken, host)
-	t.peerInFlight[host] = peerCount{int(e.InFlight), now}
+	t.setPeerInFlight(now, host, int(e.InFlight))
 	t.successesNeeded = int(e.SuccessesNeeded)
 	if e.OKAge != never {
 		t.okAt = max(t.okAt, now-clock.Millis(e.OKAge))
@@ -226,7 +226,7 @@
 	if t == nil {
 		return false
 	}
-	t.peerInFlight[host] = peerCount{int(e.InFlight), now}
+	t.setPeerInFlight(now, host, int(e.InFlight))
 	defer p.notifyHealthChange(now, t, t.successesNeeded == 0, Broken, host)
 	if e.FailAge != never {
 		if at := now - clock.Millis(e.FailAge); at > t.failAt && at > t.okAt {
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -163,21 +163,36 @@
 
 // usable reports whether a request may be sent to t now.
 func (p *Pool) usable(now clock.Millis, t *target, a Request) bool {
-	if !p.inUse(t) || now < t.pausedUntil || !p.onSide(t, a) {
-		return false
+	return p.obstacle(now, t, a) == ""
+}
+
+// obstacle returns the reason why a request must not be sent to t now, "" if there is
+// none.
+func (p *Pool) obstacle(now clock.Millis, t *target, a Request) Obstacle {
+	if o := p.outOfUse(t); o != "" {
+		return o
+	}
+	if now < t.pausedUntil {
+		return Paused
+	}
+	if !p.onSide(t, a) {
+		return OtherVersion
 	}
 	for _, id := range a.Avoid {
 		if id == t.ID {
-			return false
+			return Tried
 		}
 	}
 	if b := t.totalInFlight(now); b >= t.slots()+maxQueuedAtTarget || a.FreeSlotOnly && b >= t.slots() {
-		return false
+		return Full
 	}
 	if t.successesNeeded > 0 && !p.mayUseUnhealthy(t, a) {
-		return false
+		return Unhealthy
+	}
+	if t.cold(now) && !p.hasColdCapacity(now, t) {
+		return Cold
 	}
-	return !t.cold(now) || p.hasColdCapacity(now, t)
+	return ""
 }
 
 // mayUseUnhealthy reports whether this host may send a request to an unhealthy
@@ -210,28 +225,29 @@
 func (p *Pool) Pick(now clock.Millis, a Request) (Choice, bool) {
 	p.updateAnyHealthy()
 	for _, a.side = range p.sides(a) {
-		if c, ok := p.pick(now, a); ok {
+		if c, ok := p.pick(now, p.prepare(a)); ok {
 			return c, true
 		}
 	}
 	return Choice{}, false
 }
 
-// pick chooses a target of a side.
-func (p *Pool) pick(now clock.Millis, a Request) (Choice, bool) {
+// prepare returns a request for the targets of its side.
+func (p *Pool) prepare(a Request) Request {
 	if a.side == newSide {
 		// No request waits at a target of the new version for another one.
 		a.FreeSlotOnly = true
 		p.updateTrials()
 	}
-	var t *target
+	return a
+}
+
+// pick chooses a target of a side.
+func (p *Pool) pick(now clock.Millis, a Request) (Choice, bool) {
 	if a.Idempotent && a.Retryable {
 		p.probeRequestAt, p.hasProbes = now, true
-		t = p.probe(now, a)
-	}
-	if t == nil {
-		t = p.cheapest(now, a)
 	}
+	t, _ := p.choose(now, a)
 	if t == nil {
 		return Choice{}, false
 	}
@@ -246,6 +262,17 @@
 	return c, true
 }
 
+// choose returns the target for a request, nil if there is none, and whether it is
+// chosen because its observation is the oldest one.
+func (p *Pool) choose(now clock.Millis, a Request) (t *target, oldest bool) {
+	if a.Idempotent && a.Retryable {
+		if t = p.probe(now, a); t != nil {
+			return t, true
+		}
+	}
+	return p.cheapest(now, a), false
+}
+
 // probe returns the target to be probed by a request that can be sent again, nil
 // if there is none. Of the usable targets that this host owns and that have a
 // free slot, it returns the one with the oldest observation. An unhealthy target
@@ -277,7 +304,7 @@
 		if !p.usable(now, t, a) {
 			continue
 		}
-		c := p.cost(now, t, a)
+		c := p.cost(now, t, a, nil)
 		if best == nil || c < lowest {
 			best, lowest = t, c
 		}
--- a/balance/queue.go
+++ b/balance/queue.go
@@ -25,6 +25,11 @@
 	return now-q.lastEmptyAt > standingAfter
 }
 
+// Stands reports what Standing does if no request is added, and records nothing.
+func (q *Queue) Stands(now clock.Millis) bool {
+	return len(q.waiters) > 0 && now-q.lastEmptyAt > standingAfter
+}
+
 // Waiter is a request in a queue.
 type Waiter struct {
 	// Priority is 0 for the most urgent requests.
@@ -70,6 +75,17 @@
 	return len(q.waiters) == 0 || q.waiters[0] == w || w.before(q.waiters[0])
 }
 
+// Ahead returns the number of requests in the queue that precede another one.
+func (q *Queue) Ahead(w *Waiter) int {
+	n := 0
+	for _, x := range q.waiters {
+		if x != w && !w.before(x) {
+			n++
+		}
+	}
+	return n
+}
+
 // Wake notifies the first request through its Ready channel. It does not block.
 func (q *Queue) Wake() {
 	if len(q.waiters) == 0 {
--- a/balance/target.go
+++ b/balance/target.go
@@ -102,12 +102,10 @@
 // hosts, or the load that it reported if that is higher.
 func (t *target) totalInFlight(now clock.Millis) int {
 	n := t.inFlight
-	for h, c := range t.peerInFlight {
-		if now-c.at > peerMaxAge {
-			delete(t.peerInFlight, h)
-			continue
+	for _, c := range t.peerInFlight {
+		if now-c.at <= peerMaxAge {
+			n += c.n
 		}
-		n += c.n
 	}
 	if t.load.Known && now-t.loadAt <= loadMaxAge {
 		n = max(n, t.load.Running+t.load.Waiting)
@@ -115,6 +113,17 @@
 	return n
 }
 
+// setPeerInFlight sets the number of requests in flight that another host reported, and
+// forgets old numbers.
+func (t *target) setPeerInFlight(now clock.Millis, host string, n int) {
+	t.peerInFlight[host] = peerCount{n, now}
+	for h, c := range t.peerInFlight {
+		if now-c.at > peerMaxAge {
+			delete(t.peerInFlight, h)
+		}
+	}
+}
+
 // slots returns the number of requests that the target runs at a time, at least
 // 1.
 func (t *target) slots() int {
