Add carawayrack explain-route

Cause: operators cannot tell in advance what a host would do with a request, and why.

Change: Host.ServeRoute at the metrics address (GET /route), and the command that prints it. It keeps nothing, not even an empty budget, and sends nothing.

--- a/cmd/carawayrack/main.go
+++ b/cmd/carawayrack/main.go
@@ -26,6 +26,7 @@
 		{Name: "usage", Usage: usageUsage, Run: runUsage},
 		{Name: "dump", Usage: usageDump, Run: runDump},
 		{Name: "why", Usage: usageWhy, Run: runWhy},
+		{Name: "explain-route", Usage: usageExplainRoute, Run: runExplainRoute},
 		{Name: "explain", Usage: usageExplain, Run: runExplain},
 	}}
 	os.Exit(p.Run(os.Args[1:]))
--- a/cmd/carawayrack/platform.go
+++ b/cmd/carawayrack/platform.go
@@ -28,9 +28,11 @@
 // process holds the flags, settings and log of a process on the users' platform,
 // to which package platform adapts the proxy.
 type process struct {
-	role     string
-	metrics  string
-	log      *zap.Logger
+	role    string
+	metrics string
+	log     *zap.Logger
+	// route explains how a request would be routed; nil for control processes.
+	route    http.HandlerFunc
 	settings platform.Settings
 }
 
@@ -55,7 +57,7 @@
 	if err != nil {
 		return command.Fail(err)
 	}
-	m := &metricsServer{p.metrics, p.log, state}
+	m := &metricsServer{p.metrics, p.log, state, p.route}
 	go m.run()
 	p.log.Info("started", zap.String("role", role), zap.String("version", version))
 	awaitStopSignal(p.log)
@@ -69,12 +71,17 @@
 	addr  string
 	log   *zap.Logger
 	state http.HandlerFunc
+	// route serves the explanations of explain-route, if set.
+	route http.HandlerFunc
 }
 
 func (m *metricsServer) run() {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", expvar.Handler())
 	mux.HandleFunc("GET /state", m.state)
+	if m.route != nil {
+		mux.HandleFunc("GET /route", m.route)
+	}
 	s := &http.Server{Addr: m.addr, Handler: mux, ReadHeaderTimeout: readTimeout}
 	m.log.Error("metrics server stopped", zap.Error(s.ListenAndServe()))
 }
@@ -89,6 +96,7 @@
 	if err := h.Run(); err != nil {
 		return nil, nil, err
 	}
+	p.route = h.ServeRoute
 	d := &platform.Directory{Settings: p.settings, Host: h, Log: p.log}
 	return h.ServeState, h.Stop, d.Run()
 }
--- a/edge/call.go
+++ b/edge/call.go
@@ -89,14 +89,14 @@
 	f, age := c.host.view.current(c.start)
 	if f == nil || age >= c.host.Settings.MaxConfigAge {
 		if f = c.host.waitForCurrentConfig(c.host.Settings.MaxConfigAge); f == nil {
-			return &refusal{ConfigNotCurrent, http.StatusServiceUnavailable, clock.Second, "no current configuration"}
+			return notCurrent("no current configuration")
 		}
 	}
 	x := c.findRoute(f)
 	if x != nil && age >= c.host.Settings.MaxRefusalAge {
 		// A newer configuration may allow the request.
 		if f = c.host.waitForCurrentConfig(c.host.Settings.MaxRefusalAge); f == nil {
-			return &refusal{ConfigNotCurrent, http.StatusServiceUnavailable, clock.Second, x.Error()}
+			return notCurrent(x.Error())
 		}
 		x = c.findRoute(f)
 	}
@@ -116,6 +116,12 @@
 	return c.takeToken()
 }
 
+// notCurrent returns the refusal of a request that a newer configuration may allow or
+// refuse.
+func notCurrent(cause string) *refusal {
+	return &refusal{ConfigNotCurrent, http.StatusServiceUnavailable, clock.Second, cause}
+}
+
 // findRoute sets the route and the account. It returns a refusal if the
 // configuration has no route for the request or does not have its key.
 func (c *call) findRoute(f *catalog.Config) *refusal {
@@ -163,6 +169,10 @@
 	if ok {
 		return nil
 	}
+	return c.overQuota(wait)
+}
+
+func (c *call) overQuota(wait clock.Millis) *refusal {
 	return &refusal{OverQuota, http.StatusTooManyRequests, wait, "account " + c.account.Name}
 }
 
--- a/edge/fleet_view.go
+++ b/edge/fleet_view.go
@@ -167,11 +167,18 @@
 }
 
 func (v *fleetView) retryBudget(service string) *quota.RetryBudget {
+	b := v.peekRetryBudget(service)
+	v.retryBudgets[service] = b
+	return b
+}
+
+// peekRetryBudget returns the retry budget of a service, a new one that is not kept if
+// there is none.
+func (v *fleetView) peekRetryBudget(service string) *quota.RetryBudget {
 	b := v.retryBudgets[service]
 	if b == nil {
 		b = &quota.RetryBudget{Ratio: retryBudgetShare * v.retry.Ratio, Depth: v.retryDepth()}
 		b.Run()
-		v.retryBudgets[service] = b
 	}
 	return b
 }
@@ -215,7 +222,7 @@
 // mayProbe reports whether a request of a service may probe an unhealthy
 // target.
 func (v *fleetView) mayProbe(service string) bool {
-	b := v.retryBudget(service)
+	b := v.peekRetryBudget(service)
 	return b.Left() >= min(minRetriesForProbe, max(b.Depth/2, 1))
 }
 
--- a/edge/send.go
+++ b/edge/send.go
@@ -211,19 +211,7 @@
 	if hedge {
 		until = now
 	}
-	request := balance.Request{
-		Idempotent:   c.mayProbe() && len(c.tried) == 0,
-		Retryable:    c.attempts+1 < max(c.route.Attempts, 1) && c.replayable(),
-		LargeBody:    c.route.Kind == catalog.Upload,
-		Avoid:        c.tried,
-		FreeSlotOnly: hedge,
-		Sample:       c.host.view.rolloutSample(c.service),
-		Repeated:     hedge || len(c.tried) > 0,
-	}
-	p := &pendingPick{
-		service: c.service, request: request, waiter: balance.Waiter{Priority: c.priority(), Since: c.start},
-		start: now, deadline: until, refuse: c.endsBefore,
-	}
+	p := c.newPick(now, until, hedge)
 	h, ok := c.host.waitForTarget(c.context, p)
 	now = c.host.Clock.Now()
 	if !ok && last != nil {
@@ -236,7 +224,7 @@
 		return nil, c.closedRefusal(p.pause)
 	}
 	if !ok {
-		return nil, &refusal{TargetsFull, http.StatusServiceUnavailable, retryAfterFull, "service " + c.service}
+		return nil, c.fullRefusal()
 	}
 	c.tried = append(c.tried, h.ID)
 	c.attempts++
@@ -247,6 +235,28 @@
 	return a, nil
 }
 
+// newPick returns what the next attempt needs of a target.
+func (c *call) newPick(now, until clock.Millis, hedge bool) *pendingPick {
+	request := balance.Request{
+		Idempotent:   c.mayProbe() && len(c.tried) == 0,
+		Retryable:    c.attempts+1 < max(c.route.Attempts, 1) && c.replayable(),
+		LargeBody:    c.route.Kind == catalog.Upload,
+		Avoid:        c.tried,
+		FreeSlotOnly: hedge,
+		Sample:       c.host.view.rolloutSample(c.service),
+		Repeated:     hedge || len(c.tried) > 0,
+	}
+	return &pendingPick{
+		service: c.service, request: request, waiter: balance.Waiter{Priority: c.priority(), Since: c.start},
+		start: now, deadline: until, refuse: c.endsBefore,
+	}
+}
+
+// fullRefusal returns the refusal of a request that has waited for a target in vain.
+func (c *call) fullRefusal() *refusal {
+	return &refusal{TargetsFull, http.StatusServiceUnavailable, retryAfterFull, "service " + c.service}
+}
+
 // closedRefusal returns the refusal of a request to a service none of whose targets
 // accepts requests. Pause is the time until the first one does, 0 if all are
 // leaving.
--- a/edge/tokens.go
+++ b/edge/tokens.go
@@ -100,11 +100,11 @@
 		t.mu.Unlock()
 		return true, 0
 	}
-	if w := p.LenderWait(now); w > 0 {
+	switch s, w := t.nextSource(now, p); s {
+	case sourceEmpty:
 		t.mu.Unlock()
 		return false, w
-	}
-	if now < t.fallbackUntil || !t.reachable() {
+	case sourceOwnPart:
 		t.mu.Unlock()
 		return t.takeWithoutLender(a)
 	}
@@ -129,6 +129,35 @@
 	return false, w
 }
 
+// tokenSource is where the next token of an account comes from.
+type tokenSource string
+
+const (
+	// sourceHeld: the host holds tokens that it has borrowed.
+	sourceHeld tokenSource = "held"
+	// sourceEmpty: the lender is expected to have no tokens for a while.
+	sourceEmpty tokenSource = "lenderEmpty"
+	// sourceOwnPart: no control process lends; see takeWithoutLender.
+	sourceOwnPart tokenSource = "withoutLender"
+	// sourceLender: a control process is asked for it.
+	sourceLender tokenSource = "lender"
+)
+
+// nextSource returns the source of the next token of an account, and the time until
+// the lender may have tokens if it has none; t.mu is held.
+func (t *tokens) nextSource(now clock.Millis, p *accountTokens) (tokenSource, clock.Millis) {
+	if p.Tokens() > 0 {
+		return sourceHeld, 0
+	}
+	if w := p.LenderWait(now); w > 0 {
+		return sourceEmpty, w
+	}
+	if now < t.fallbackUntil || !t.reachable() {
+		return sourceOwnPart, 0
+	}
+	return sourceLender, 0
+}
+
 // takeWithoutLender takes a token while no control process lends any: from the
 // zone lender of the account in a large zone, otherwise of the host's own part of the
 // rate.
--- a/quota/cache.go
+++ b/quota/cache.go
@@ -33,6 +33,9 @@
 	lenderEmptyUntil clock.Millis
 }
 
+// Tokens returns the number of tokens in the cache.
+func (c *Cache) Tokens() int { return c.tokens }
+
 // Spend takes n tokens and returns true, or takes none and returns false if the
 // cache holds fewer. In both cases the n tokens count as demand.
 func (c *Cache) Spend(now clock.Millis, n int) bool {
