--- a/balance/health_check_test.go
+++ b/balance/health_check_test.go
@@ -200,11 +200,11 @@
 		for range 20 {
 			p.CountOutcome(1000, true)
 		}
-		Expect(p.cost(1000, t, unsafe)).To(BeNumerically(">=", costUnhealthy))
+		Expect(p.cost(1000, t, unsafe, nil)).To(BeNumerically(">=", costUnhealthy))
 		for range 3 {
 			p.CountOutcome(1000, false)
 		}
-		Expect(p.cost(1000, t, unsafe)).To(BeNumerically("<", costUnhealthy))
+		Expect(p.cost(1000, t, unsafe, nil)).To(BeNumerically("<", costUnhealthy))
 	})
 })
 
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -28,7 +28,6 @@
 
 	r       *rand.Rand
 	pools   []*balance.Pool
-	names   [][]string
 	record  []rollout.Recorder
 	server  map[string]*queueServer
 	ends    map[clock.Millis][]*request
