--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -61,7 +61,7 @@
 	minRouteShare     = 0.03
 	// expectedResponses is the number of responses that should have arrived from
 	// which a version without any is not given more requests.
-	expectedResponses = 20
+	expectedResponses = 4
 	// minSlots is the smallest capacity of the new version, as a share of that of
 	// the others, with which it gets all requests, maxColdSlots the largest share of
 	// it that may be cold, until coldUntil of the duration.
@@ -151,6 +151,9 @@
 
 // finish completes a roll-out in which the new version gets all requests.
 func (s Settings) finish(x Situation, n catalog.Rollout) (catalog.Rollout, bool) {
+	if x.silent() && x.Elapsed >= n.Duration {
+		return end(n, catalog.RolloutRolledBack, "the version does not respond"), true
+	}
 	if x.SinceStep < x.dwell() || !x.proven() && x.Elapsed < n.Duration {
 		return n, false
 	}
@@ -190,13 +193,19 @@
 	if x.Responses >= minResponses && x.RouteResponses >= minRouteResponses {
 		return true
 	}
-	expected := x.Rate * x.Rollout.Share * float64(x.SinceStep) / float64(clock.Second)
-	if x.Responses == 0 && expected >= expectedResponses {
+	if x.silent() {
 		return false
 	}
 	return x.SinceStep >= x.part(patience) || x.Elapsed >= x.part(settleUntil)
 }
 
+// silent reports whether the new version does not respond although it should get
+// requests.
+func (x Situation) silent() bool {
+	expected := x.Rate * x.Rollout.Share * float64(x.SinceStep) / float64(clock.Second)
+	return x.Responses == 0 && expected >= expectedResponses
+}
+
 // hasCapacity reports whether the new version can take the requests of a step.
 func (x Situation) hasCapacity(step int) bool {
 	if x.NewSlots == 0 {
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -61,6 +61,15 @@
 			x.Responses, x.RouteResponses = 0, 0
 			x.Rate = 10_000
 		}),
+		Entry("no responses once all requests are sent there", func(x *Situation) {
+			if x.Rollout.Share == 1 {
+				x.Responses = 0
+			}
+		}),
+		Entry("no responses although a few requests are sent", func(x *Situation) {
+			x.Responses, x.RouteResponses = 0, 0
+			x.Rate = 20
+		}),
 	)
 
 	It("waits for cold targets before half of the requests move", func() {
