--- a/cmd/carawayrack/main.go
+++ b/cmd/carawayrack/main.go
@@ -21,6 +21,7 @@
 		{Name: "diff", Usage: usageDiff, Run: runDiff},
 		{Name: "keys", Usage: usageKeys, Run: runKeys},
 		{Name: "zones", Usage: usageZones, Run: runZones},
+		{Name: "rollouts", Usage: usageRollouts, Run: runRollouts},
 		{Name: "status", Usage: usageStatus, Run: runStatus},
 		{Name: "replicas", Usage: usageReplicas, Run: runReplicas},
 		{Name: "usage", Usage: usageUsage, Run: runUsage},
