pipeline: stream responses that the handler flushes

Cause: a connection kept each response whole until the earlier ones had been sent, so that a large response occupied its size, and its caller got nothing before its end.

Change: FlushError (http.ResponseController) waits for the exchange's turn, sends the head and makes later writes go to the caller at once, with Content-Length or in chunks. A response that breaks off ends the connection without the rest or the last chunk; without either (HTTP/1.0) with a reset. AwaitTurn waits without sending anything. mustClose no longer waits for a read of the request's body that is in progress, as FlushError calls it under the connection's lock.

--- a/pipeline/body.go
+++ b/pipeline/body.go
@@ -94,8 +94,14 @@
 	b.end()
 }
 
-// complete reports whether the body was read to its end.
+// complete reports whether the body was read to its end. It does not wait for a read in
+// progress.
 func (b *body) complete() bool {
+	select {
+	case <-b.over:
+	default:
+		return false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.whole
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -251,6 +251,7 @@
 		return false
 	}
 	c.queue = append(c.queue, e)
+	c.giveTurn()
 	c.startReady()
 	return true
 }
@@ -276,9 +277,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.done = true
-	c.held += e.size()
-	if c.writing {
-		return
+	if e.stream != nil {
+		// The exchange has been writing since it was flushed.
+		c.mu.Unlock()
+		err := e.endStream()
+		c.mu.Lock()
+		c.sent(e, e.stream.last, err)
+	} else {
+		c.held += e.size()
+		if c.writing {
+			return
+		}
 	}
 	c.writing = true
 	for len(c.queue) > 0 && c.queue[0].done && !c.ended {
@@ -287,21 +296,28 @@
 		c.mu.Unlock()
 		err := x.write(last)
 		c.mu.Lock()
-		c.pop(x)
-		if err != nil {
-			c.cancel()
-		}
-		if err != nil || last {
-			c.announced = err == nil
-			c.end()
-		}
+		c.sent(x, last, err)
 	}
 	c.writing = false
+	c.giveTurn()
 	if len(c.queue) == 0 && c.awaiting {
 		c.setIdleDeadline(c.server.Limits())
 	}
 }
 
+// sent removes the first exchange after an attempt to send its response, and ends the
+// connection if it was the last one or could not be sent; c.mu is held.
+func (c *conn) sent(x *exchange, last bool, err error) {
+	c.pop(x)
+	if err != nil {
+		c.cancel()
+	}
+	if err != nil || last {
+		c.announced = err == nil
+		c.end()
+	}
+}
+
 // isLast reports whether the connection ends with the response of x, the first
 // exchange of the queue; c.mu is held. While the server drains, that is the last
 // one that was started: those behind it have not been passed on.
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -12,7 +12,8 @@
 )
 
 // exchange is one request and its response. It is the http.ResponseWriter of the
-// handler and keeps the response until all earlier ones have been sent.
+// handler and keeps the response until all earlier ones have been sent, unless the
+// handler flushes it; see FlushError.
 type exchange struct {
 	conn *conn
 	// request is nil if the request could not be parsed.
@@ -28,6 +29,10 @@
 	content bytes.Buffer
 	// done is set once the response is complete; conn.mu guards it.
 	done bool
+	// turn comes once the exchange is the first of its connection. stream is nil if the
+	// response is sent as a whole.
+	turn   turn
+	stream *stream
 }
 
 // receivedKey is the context key of the time at which a request was read.
@@ -44,7 +49,7 @@
 // newExchange returns the exchange of a request, which is nil if it could not be
 // parsed.
 func newExchange(c *conn, r *http.Request) *exchange {
-	e := &exchange{conn: c, header: http.Header{}, lastOfCaller: true}
+	e := &exchange{conn: c, header: http.Header{}, lastOfCaller: true, turn: turn{come: make(chan struct{})}}
 	if r == nil {
 		return e
 	}
@@ -87,7 +92,13 @@
 	if x != http.ErrAbortHandler {
 		e.conn.server.Log.Error("a request handler panicked", zap.Any("panic", x), zap.ByteString("stack", debug.Stack()))
 	}
+	e.abort()
 	e.conn.cancel()
+	if e.stream != nil {
+		// The connection is closed by its loop, as it is for a response that is too
+		// short.
+		return
+	}
 	_ = e.conn.net.Close()
 }
 
@@ -101,8 +112,11 @@
 	}
 }
 
-// Write adds to the body of the response. It never fails.
+// Write adds to the body of the response. It fails only after FlushError.
 func (e *exchange) Write(b []byte) (int, error) {
+	if e.stream != nil {
+		return e.send(b)
+	}
 	e.WriteHeader(http.StatusOK)
 	return e.content.Write(b)
 }
@@ -132,36 +146,52 @@
 	return e.lastOfCaller || (e.body != nil && !e.body.complete())
 }
 
+// bodyAllowed reports whether the response has a body.
+func (e *exchange) bodyAllowed() bool {
+	isHead := e.request != nil && e.request.Method == http.MethodHead
+	return e.status != http.StatusNoContent && e.status != http.StatusNotModified && !isHead
+}
+
 // write sends the response. It announces the end of the connection if last is
 // true.
 func (e *exchange) write(last bool) error {
 	e.WriteHeader(http.StatusOK)
+	h := e.header
+	switch {
+	case e.bodyAllowed():
+		h.Set("Content-Length", strconv.Itoa(e.content.Len()))
+	case e.status == http.StatusNoContent || e.status == http.StatusNotModified:
+		h.Del("Content-Length")
+	case h.Get("Content-Length") == "":
+		h.Set("Content-Length", strconv.Itoa(e.content.Len()))
+	}
+	var b bytes.Buffer
+	b.Grow(headEstimate + e.content.Len())
+	e.writeHead(&b, last)
+	if e.bodyAllowed() {
+		b.Write(e.content.Bytes())
+	}
+	return e.conn.writeAll(b.Bytes())
+}
+
+// writeHead writes the status line and the headers to b.
+func (e *exchange) writeHead(b *bytes.Buffer, last bool) {
 	h := e.header
 	h.Del("Connection")
 	h.Del("Transfer-Encoding")
 	if last {
 		h.Set("Connection", "close")
 	}
+	if e.stream != nil && e.stream.chunked {
+		h.Set("Transfer-Encoding", "chunked")
+	}
 	if _, ok := h["Date"]; !ok {
 		h.Set("Date", time.Now().UTC().Format(http.TimeFormat))
 	}
-	hasBody := e.status != http.StatusNoContent && e.status != http.StatusNotModified
-	isHead := e.request != nil && e.request.Method == http.MethodHead
-	if !hasBody {
-		h.Del("Content-Length")
-	} else if !isHead || h.Get("Content-Length") == "" {
-		h.Set("Content-Length", strconv.Itoa(e.content.Len()))
-	}
-	var b bytes.Buffer
-	b.Grow(headEstimate + e.content.Len())
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(e.status) + " " + http.StatusText(e.status) + "\r\n")
 	// Writes to a bytes.Buffer do not fail.
-	_ = h.Write(&b)
+	_ = h.Write(b)
 	b.WriteString("\r\n")
-	if hasBody && !isHead {
-		b.Write(e.content.Bytes())
-	}
-	return e.conn.writeAll(b.Bytes())
 }
 
 // headEstimate is the usual size of a response without its body, in bytes.
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -53,7 +53,8 @@
 // Server serves callers on a listener.
 type Server struct {
 	// Handler responds to one request. It must read what it needs of the body
-	// before it returns. The response is sent when it has returned.
+	// before it returns. The response is sent when it has returned, or as it is
+	// written from its first flush on; see http.ResponseController and AwaitTurn.
 	Handler http.Handler
 	// Independent reports whether a request may run beside others of its
 	// connection. Others run only once all earlier responses have been sent.
