Stream large responses to their callers

Cause: a response was read whole, refused with 502 from 4 MiB on or when the memory for bodies was used up, and then held without any bound until its caller had read it.

Change: up to 256 KiB a response is read whole before the caller gets any of it, so that another target can be tried. Larger ones are read ahead of the caller within a budget for its connection (4 MiB, at most an eighth of the host's budget for bodies) and for all, and written as the caller reads; without memory they are streamed with two chunks of 32 KiB. A response that breaks off is truncated for the caller. Its target is to blame unless the host left the response unread for 0.5 s. Downloads probe unhealthy targets once the last 20 responses of their route were below 256 KiB. The reason memoryFull is gone. The spec that a response above 4 MiB is refused is replaced: it must now arrive whole, with its seal.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/forward"
+	"github.com/carawayrack/carawayrack/readahead"
 	"github.com/carawayrack/carawayrack/rollout"
 	"github.com/carawayrack/carawayrack/slots"
 )
@@ -30,6 +31,12 @@
 	cancel   context.CancelFunc
 	response *http.Response
 	body     []byte
+	// stream holds the body instead if it is large, and length is its size, -1 if
+	// unknown; see newStream.
+	stream *readahead.Buffer
+	length int64
+	// ended is closed once nothing more is sent to or read from the target.
+	ended chan struct{}
 	// superseded is set before an attempt is cancelled because another one has
 	// settled the call, overdue once the attempt has taken so long that it
 	// counts against the health of its target.
@@ -54,15 +61,26 @@
 	return &refusal{TargetFailed, http.StatusBadGateway, 0, "status " + strconv.Itoa(a.response.StatusCode)}
 }
 
-// run executes the attempt and then sends it to done.
+// run executes the attempt, sends it to done and reads the rest of its response. The
+// context of an attempt with a stream lasts until the response is delivered or superseded.
 func (a *attempt) run(done chan<- *attempt) {
-	defer a.cancel()
+	unfinished := false
+	defer close(a.ended)
 	a.failure, a.retryable = a.execute()
+	if a.stream == nil {
+		defer a.cancel()
+	} else {
+		unfinished = !a.stream.Whole()
+	}
 	done <- a
+	if unfinished {
+		a.readAhead()
+	}
 }
 
-// execute sends the request to the target. If the refusal is nil, there is a
-// complete response; retryable reports whether another target may be tried.
+// execute sends the request to the target. If the refusal is nil, there is a complete
+// response or the start of a large one; retryable reports whether another target may be
+// tried.
 func (a *attempt) execute() (x *refusal, retryable bool) {
 	c := a.call
 	a.exchange = &forward.Exchange{
@@ -177,24 +195,34 @@
 // Error describes the problem.
 func (e InvalidResponse) Error() string { return "invalid response: " + e.Problem }
 
-// readResponse reads the whole response, checks it and finishes the attempt. It
-// returns what execute returns.
+// readResponse reads the response up to streamSize, or less if other bodies occupy the
+// memory, and checks it. It finishes the attempt unless there is more to read. It returns
+// what execute returns.
 func (a *attempt) readResponse() (*refusal, bool) {
 	c := a.call
-	b, err := c.host.responseBuffers.read(a.response.Body, maxBufferedResponse)
-	// The budget bounds what unfinished responses occupy: a complete one is soon
-	// sent to the caller.
-	c.host.responseBuffers.give(b.reserved)
+	b, err := c.host.responseBuffers.read(a.response.Body, streamSize)
+	if errors.As(err, &BufferFull{}) {
+		err = nil
+	}
 	if err == nil {
 		err = a.validate()
 	}
-	if err == nil && !b.whole {
-		err = InvalidResponse{"larger than " + strconv.Itoa(maxBufferedResponse-1) + " bytes"}
+	if err == nil && !b.whole && a.response.StatusCode >= http.StatusInternalServerError && c.idempotent() {
+		err = InvalidResponse{"a failure with more than " + strconv.Itoa(len(b.bytes)) + " bytes"}
 	}
 	if err != nil {
+		c.host.responseBuffers.give(b.reserved)
 		return a.reject(err)
 	}
-	a.body = b.bytes
+	if !b.whole || b.reserved > 0 {
+		a.newStream(b)
+	} else {
+		a.body = b.bytes
+	}
+	c.host.sizes.record(c.route, b.whole)
+	if !b.whole {
+		return nil, false
+	}
 	o := balance.Served
 	failed := a.response.StatusCode >= http.StatusInternalServerError
 	if failed {
@@ -211,11 +239,6 @@
 		a.finish(a.cancelOutcome())
 		return &refusal{CallerLeft, http.StatusBadGateway, 0, "while a target ran the request"}, false
 	}
-	if errors.As(err, &BufferFull{}) {
-		// Other responses have used the memory; this target is not to blame.
-		a.finish(balance.Cancelled)
-		return &refusal{MemoryFull, http.StatusBadGateway, 0, err.Error()}, false
-	}
 	a.finish(a.failedOutcome(balance.Broken))
 	return &refusal{TargetFailed, http.StatusBadGateway, 0, err.Error()}, a.call.idempotent()
 }
@@ -265,7 +288,7 @@
 	} else {
 		a.exchange.Close()
 	}
-	r := balance.Result{Outcome: o, Took: now - a.started}
+	r := balance.Result{Outcome: o, Took: now - a.started - a.pausedByHost()}
 	if a.response != nil {
 		r.Load = parseLoad(a.response.Header.Get(c.host.Headers.Load))
 		r.Cold = parseWarmUp(a.response.Header.Get(c.host.Headers.WarmUp))
--- a/edge/host.go
+++ b/edge/host.go
@@ -42,6 +42,7 @@
 	targetConns *forward.Pool
 	// requestBuffers and responseBuffers bound the memory for bodies.
 	requestBuffers, responseBuffers *bodyBudget
+	sizes                           responseSizes
 	metrics                         *metrics
 	server                          *pipeline.Server
 	// latencies holds the processing times at targets, by route.
@@ -245,6 +246,10 @@
 		c.refuse(x)
 		return
 	}
+	if a.stream != nil {
+		c.streamResponse(a)
+		return
+	}
 	c.writeResponse(a)
 }
 
@@ -283,12 +288,16 @@
 
 // writeResponse forwards the complete response of a target to the caller.
 func (c *call) writeResponse(a *attempt) {
-	h := c.w.Header()
-	copyHeader(h, a.response.Header)
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
-	c.host.metrics.latency.record(c.kind()+".answered", c.host.Clock.Now()-c.start)
-	c.host.metrics.responses.Add(c.service+"."+strconv.Itoa(a.response.StatusCode/100), 1)
+	copyHeader(c.w.Header(), a.response.Header)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	c.countResponse(a)
 	c.w.WriteHeader(a.response.StatusCode)
 	// The error is of no use: the caller has disconnected.
 	_, _ = c.w.Write(a.body)
 }
+
+// countResponse counts a response of a target that is sent to the caller.
+func (c *call) countResponse(a *attempt) {
+	c.host.metrics.latency.record(c.kind()+".answered", c.host.Clock.Now()-c.start)
+	c.host.metrics.responses.Add(c.service+"."+strconv.Itoa(a.response.StatusCode/100), 1)
+}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -23,12 +23,15 @@
 	// bytes counts bytes sent: observations as nearEvidence (within the local
 	// zone) and farEvidence (to other zones), the buffered parts of request
 	// bodies as nearBodies and farBodies.
-	bytes   *expvar.Map
+	bytes *expvar.Map
+	// streams counts responses by service that were streamed to callers, and those of
+	// them that broke off: by the cause, the target, the caller or the deadline.
+	streams *expvar.Map
 	latency latencyHistograms
 }
 
 func newMetrics() *metrics {
-	m := &metrics{responses: new(expvar.Map), refusals: new(expvar.Map), attempts: new(expvar.Map), checks: new(expvar.Map), notices: new(expvar.Map), hedges: new(expvar.Map), hedgeShare: new(expvar.Map), bytes: new(expvar.Map)}
+	m := &metrics{responses: new(expvar.Map), refusals: new(expvar.Map), attempts: new(expvar.Map), checks: new(expvar.Map), notices: new(expvar.Map), hedges: new(expvar.Map), hedgeShare: new(expvar.Map), bytes: new(expvar.Map), streams: new(expvar.Map)}
 	if expvar.Get("answers") == nil {
 		expvar.Publish("answers", m.responses)
 		expvar.Publish("refusals", m.refusals)
@@ -38,6 +41,7 @@
 		expvar.Publish("hedges", m.hedges)
 		expvar.Publish("hedgeShare", m.hedgeShare)
 		expvar.Publish("bytes", m.bytes)
+		expvar.Publish("streams", m.streams)
 		expvar.Publish("latencyMs", expvar.Func(m.latency.summary))
 	}
 	return m
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -31,8 +31,6 @@
 	CallerLeft     Reason = "callerLeft"
 	Quarantined    Reason = "quarantined"
 	BodyTooLate    Reason = "bodyTooLate"
-	// MemoryFull counts requests whose responses found no memory; see bodyBudget.
-	MemoryFull Reason = "memoryFull"
 	// Stopping counts requests that a leaving host might not answer before it ends.
 	Stopping Reason = "stopping"
 	// NotRead counts requests behind a response that ends their connection; they
--- a/edge/send.go
+++ b/edge/send.go
@@ -15,14 +15,11 @@
 	// responseMargin is the additional time for a response that the target sends
 	// at the deadline.
 	responseMargin = 20 * clock.Millis(1)
-	// maxBufferedResponse is the size from which responses are refused, in
-	// bytes. Smaller ones are read completely before the caller gets any of
-	// them.
-	maxBufferedResponse = 4 << 20
 )
 
 // send makes attempts until the request is answered or no other attempt is
-// allowed. The refusal is nil if there is a complete response of a target.
+// allowed. The refusal is nil if there is a complete response of a target, or the start of
+// a large one.
 func (c *call) send() (*attempt, *refusal) {
 	c.host.view.countRequest(c.service)
 	done := make(chan *attempt, maxAttempts)
@@ -230,7 +227,7 @@
 	c.attempts++
 	c.host.gossip.scheduleSend()
 	c.host.metrics.countBytes(h.Zone != c.host.Settings.Zone, "Bodies", len(c.body))
-	a := &attempt{call: c, choice: h, started: now, counted: c.host.view.beginAttempt(now, c.service, c.route.Name, h)}
+	a := &attempt{call: c, choice: h, started: now, ended: make(chan struct{}), counted: c.host.view.beginAttempt(now, c.service, c.route.Name, h)}
 	a.context, a.cancel = context.WithCancel(c.context)
 	return a, nil
 }
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -90,7 +91,7 @@
 func newConn(s *Server, n net.Conn) *conn {
 	c := &conn{server: s, net: n, head: &headReader{Conn: n, left: -1}, changed: make(chan struct{}, 1)}
 	c.reader = bufio.NewReaderSize(c.head, readBuffer)
-	c.context, c.cancel = context.WithCancel(context.Background())
+	c.context, c.cancel = context.WithCancel(context.WithValue(context.Background(), aheadKey{}, new(atomic.Int64)))
 	return c
 }
 
--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -72,6 +73,18 @@
 	}
 }
 
+// aheadKey is the context key of the counter of ReadAhead.
+type aheadKey struct{}
+
+// ReadAhead returns the number of bytes that handlers hold for the connection of a request
+// beyond what they have written. Handlers keep it; the requests of a connection share it.
+func ReadAhead(ctx context.Context) *atomic.Int64 {
+	if n, ok := ctx.Value(aheadKey{}).(*atomic.Int64); ok {
+		return n
+	}
+	return new(atomic.Int64)
+}
+
 // FlushError makes the response a streamed one; see http.ResponseController. It waits
 // until all earlier responses have been sent, sends the head and what was written so far.
 // Later writes wait until the caller's side has accepted the bytes. If the handler panics
--- a/readahead/buffer.go
+++ b/readahead/buffer.go
@@ -202,8 +202,8 @@
 	return err
 }
 
-// Next returns the next bytes, which are valid until the next call. It waits for them. The
-// error is io.EOF at the end of a whole body, else that of Fill or Closed.
+// Next returns the next bytes, whose memory counts until the next call. It waits for them.
+// The error is io.EOF at the end of a whole body, else that of Fill or Closed.
 func (b *Buffer) Next() ([]byte, error) {
 	for {
 		p, err := b.next()
@@ -261,6 +261,13 @@
 	signal(b.ready)
 }
 
+// Whole reports whether the body has been read to its end.
+func (b *Buffer) Whole() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return errors.Is(b.err, io.EOF)
+}
+
 // Failed returns the error with which the body broke off, nil if it has not.
 func (b *Buffer) Failed() error {
 	b.mu.Lock()
