Lend tokens to concurrent requests of a spec without a data race

Cause: specs of package edge send requests at the same time, and testHost.borrow changed tokensLeft without a lock. One of two runs with -race reported it.

Change: borrow holds the lock of the test host.

--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -212,6 +212,8 @@
 func (s *callerServer) run() { _ = s.host.server.Run(s.ln) }
 
 func (w *testHost) borrow(a coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	n := min(w.tokensLeft, a.Tokens)
 	w.tokensLeft -= n
 	return coordinator.BorrowReply{Tokens: n, Wait: 500, Known: true}, nil
