Bound connections, heads and times of the directory, metrics and control listeners

Cause: these listeners accepted any number of connections, heads of up to 1 MB and bodies without a deadline. Heads of 16 KiB of short fields take tens of times as much once parsed.

Change: package connlimit accepts a number of connections that follows from the descriptors of the settings. At the limit it closes the connection with the least progress, never one whose request is being served. Heads are charged to a budget of 1/16 of the memory beside 8 KiB for each connection. The garbage collector runs more often from 0.7 of the memory on (debug.SetMemoryLimit).

--- a/cmd/carawayrack/platform.go
+++ b/cmd/carawayrack/platform.go
@@ -2,12 +2,13 @@
 
 import (
 	"expvar"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -22,8 +23,6 @@
 const (
 	usageEdge = "runs an entry host on the users' platform"
 	usageCore = "runs a control process on the users' platform"
-
-	readTimeout = 5 * time.Second
 )
 
 // process holds the flags, settings and log of a process on the users' platform,
@@ -66,7 +65,10 @@
 	if err != nil {
 		return command.Fail(err)
 	}
-	m := &metricsServer{p.metrics, p.log, state, p.route}
+	if n := p.settings.HeapLimit(); n > 0 {
+		debug.SetMemoryLimit(n)
+	}
+	m := &metricsServer{p.metrics, p.log, state, p.route, p.settings}
 	go m.run()
 	p.log.Info("started", zap.String("role", role), zap.String("version", version))
 	awaitStopSignal(p.log)
@@ -82,6 +84,8 @@
 	state http.HandlerFunc
 	// route serves the explanations of explain-route, if set.
 	route http.HandlerFunc
+	// settings have the limits of the listener.
+	settings platform.Settings
 }
 
 func (m *metricsServer) run() {
@@ -91,8 +95,12 @@
 	if m.route != nil {
 		mux.HandleFunc("GET /route", m.route)
 	}
-	s := &http.Server{Addr: m.addr, Handler: mux, ReadHeaderTimeout: readTimeout}
-	m.log.Error("metrics server stopped", zap.Error(s.ListenAndServe()))
+	ln, err := net.Listen("tcp", m.addr)
+	if err == nil {
+		l := m.settings.Listener(ln, platform.MetricsListener)
+		err = l.Server(mux).Serve(l)
+	}
+	m.log.Error("metrics server stopped", zap.Error(err))
 }
 
 func runEdge(args []string) int { return runProcess("edge", usageEdge, args, startEdge) }
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -35,6 +35,7 @@
 	HedgeShare float64
 	// Memory is the memory of the process in bytes, 0 if unknown.
 	Memory int64
+	Limits Limits
 	// Grace is the time from the signal to stop to the end of the process.
 	Grace clock.Millis
 }
