Bound the connections of callers and readiness checks, and the memory of heads

Cause: a host accepted any number of connections of callers and of readiness checks, and parsed any number of heads at the same time. A head of 16 KiB of short fields takes some 400 KB, a pipelining caller may have 32 of them read, and each running request needs a connection to a target.

Change: both listeners have limits of their own (connlimit). A request tells its connection while it is served and while it waits for its body, so that only connections that wait for their clients are closed. A request beyond the number that the descriptors allow is refused with 503, reason hostFull, before anything is sent; idle connections to targets are bounded.

--- a/edge/host.go
+++ b/edge/host.go
@@ -15,6 +15,7 @@
 
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/connlimit"
 	"github.com/carawayrack/carawayrack/forward"
 	"github.com/carawayrack/carawayrack/latency"
 	"github.com/carawayrack/carawayrack/pipeline"
@@ -42,8 +43,10 @@
 	targetConns *forward.Pool
 	// requestBuffers and responseBuffers bound the memory for bodies.
 	requestBuffers, responseBuffers *bodyBudget
-	metrics                         *metrics
-	server                          *pipeline.Server
+	// calls is the number of requests that may have a connection to a target.
+	calls   atomic.Int32
+	metrics *metrics
+	server  *pipeline.Server
 	// latencies holds the processing times at targets, by route.
 	latencies latency.Routes
 	bodyReads bodyReads
@@ -90,7 +93,7 @@
 	h.tokens.borrow, h.tokens.reachable = h.control.borrow, h.control.reachable
 	h.targetConns = &forward.Pool{
 		Clock: h.Clock, DialTimeout: dialTimeout, UnackedTimeout: unackedTimeout,
-		IdleTimeout: idleTimeout, FreshIdle: freshIdle,
+		IdleTimeout: idleTimeout, FreshIdle: freshIdle, MaxIdle: h.Settings.Limits.IdleTargets,
 	}
 	h.targetConns.Run()
 	h.gossip = &gossip{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, metrics: h.metrics}
@@ -124,11 +127,12 @@
 	h.server = h.callerServer()
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+h.ReadyPath, h.serveReady)
-	s := &http.Server{
-		Handler: m, IdleTimeout: callerIdle.Duration(), ReadHeaderTimeout: headerTimeout.Duration(), ErrorLog: zap.NewStdLog(h.Log),
-	}
-	go h.serveLoop(h.server.Run, l)
-	go h.serveLoop(s.Serve, r)
+	callers := &connlimit.Listener{Listener: l, Name: "callers", Max: h.Settings.Limits.Callers}
+	ready := &connlimit.Listener{Listener: r, Name: "ready", Max: h.Settings.Limits.Ready, Heads: h.heads()}
+	s := ready.Server(m)
+	s.ErrorLog = zap.NewStdLog(h.Log)
+	go h.serveLoop(h.server.Run, callers)
+	go h.serveLoop(s.Serve, ready)
 	return nil
 }
 
@@ -140,7 +144,18 @@
 
 // callerServer returns the server for the connections of callers.
 func (h *Host) callerServer() *pipeline.Server {
-	return &pipeline.Server{Handler: h, Independent: h.independent, Limits: h.callerLimits, NotRead: h.logNotRead, Log: h.Log}
+	return &pipeline.Server{
+		Handler: h, Independent: h.independent, Limits: h.callerLimits, NotRead: h.logNotRead, Log: h.Log,
+		Heads: h.heads(),
+	}
+}
+
+// heads returns a budget for the heads of a listener, nil if they are not bounded.
+func (h *Host) heads() *connlimit.Budget {
+	if h.Settings.Limits.Heads <= 0 {
+		return nil
+	}
+	return &connlimit.Budget{Limit: h.Settings.Limits.Heads}
 }
 
 // callerLimits returns the limits of the configuration for connections of
@@ -238,6 +253,12 @@
 		c.refuse(x)
 		return
 	}
+	n := h.calls.Add(1)
+	defer h.calls.Add(-1)
+	if h.Settings.Limits.Calls > 0 && int(n) > h.Settings.Limits.Calls {
+		c.refuse(&refusal{HostFull, http.StatusServiceUnavailable, retryAfterFull, strconv.Itoa(int(n)) + " requests"})
+		return
+	}
 	c.service = h.view.pickService(c.route)
 	a, x := c.send()
 	h.view.countOutcome(h.Clock.Now(), c.service, x == nil && a.response.StatusCode < http.StatusInternalServerError)
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -33,6 +33,9 @@
 	BodyTooLate    Reason = "bodyTooLate"
 	// MemoryFull counts requests whose responses found no memory; see bodyBudget.
 	MemoryFull Reason = "memoryFull"
+	// HostFull counts requests that arrived while the host served as many as its
+	// descriptors allow.
+	HostFull Reason = "hostFull"
 	// Stopping counts requests that a leaving host might not answer before it ends.
 	Stopping Reason = "stopping"
 	// NotRead counts requests behind a response that ends their connection; they
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -18,6 +18,9 @@
 	// twice.
 	IdleTimeout, FreshIdle clock.Millis
 
+	// MaxIdle is the number of idle connections to all targets, 0 for no limit.
+	MaxIdle int
+
 	mu      sync.Mutex
 	idle    map[string][]*Conn
 	stopped chan struct{}
@@ -113,7 +116,7 @@
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.addr]) >= idlePerTarget {
+	if len(p.idle[c.addr]) >= idlePerTarget || (p.MaxIdle > 0 && p.idleCount() >= p.MaxIdle) {
 		_ = c.Close()
 		return
 	}
@@ -121,6 +124,15 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
+// idleCount returns the number of idle connections; p.mu is held.
+func (p *Pool) idleCount() int {
+	n := 0
+	for _, l := range p.idle {
+		n += len(l)
+	}
+	return n
+}
+
 // Drop closes the idle connections to addr. It is called when a reused connection
 // to addr did not respond, as the idle ones are then likely to be broken as well.
 func (p *Pool) Drop(addr string) {
--- a/pipeline/body.go
+++ b/pipeline/body.go
@@ -57,7 +57,9 @@
 			return 0, err
 		}
 	}
+	b.exchange.conn.holder.Reading(true)
 	n, err := b.source.Read(p)
+	b.exchange.conn.holder.Reading(false)
 	b.count += int64(n)
 	if err != nil {
 		b.whole = errors.Is(err, io.EOF)
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -21,6 +21,8 @@
 	server *Server
 	net    net.Conn
 	head   *headReader
+	// holder learns which requests are served and wait for bytes.
+	holder holder
 	reader *bufio.Reader
 	// context is cancelled once the caller has disconnected.
 	context context.Context
@@ -54,6 +56,8 @@
 	left int64
 	// err is the last error of Read.
 	err error
+	// memory is that of the head that is being read, nil at other times.
+	memory *headMemory
 }
 
 // HeadTooLarge is the error of a request whose head exceeds the limit.
@@ -81,6 +85,9 @@
 	if h.left > 0 {
 		h.left -= int64(n)
 	}
+	if h.memory != nil && !h.memory.take(b[:n]) {
+		n, err = 0, HeadNoMemory{}
+	}
 	h.err = err
 	return n, err
 }
@@ -90,6 +97,7 @@
 func newConn(s *Server, n net.Conn) *conn {
 	c := &conn{server: s, net: n, head: &headReader{Conn: n, left: -1}, changed: make(chan struct{}, 1)}
 	c.reader = bufio.NewReaderSize(c.head, readBuffer)
+	c.holder = holderOf(n)
 	c.context, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -124,12 +132,20 @@
 	if err := c.awaitFirstByte(l); err != nil {
 		return nil, err
 	}
+	m, err := c.beginHead(l)
+	if err != nil {
+		return nil, err
+	}
 	r, err := c.readHead(l)
+	c.head.memory = nil
 	if err != nil {
+		m.give()
 		return nil, err
 	}
 	_ = c.net.SetReadDeadline(time.Time{})
-	return newExchange(c, r), nil
+	e := newExchange(c, r)
+	e.memory = m
+	return e, nil
 }
 
 // readHead reads the head of a request whose first byte has arrived.
@@ -259,7 +275,7 @@
 func (c *conn) startReady() {
 	for !c.noStart && !c.ended && c.started < min(len(c.queue), maxRunning) && c.held < maxHeld {
 		e := c.queue[c.started]
-		if c.started > 0 && !e.independent {
+		if c.started > 0 && (!e.independent || c.server.isBusy()) {
 			return
 		}
 		c.started++
@@ -277,6 +293,9 @@
 	defer c.mu.Unlock()
 	e.done = true
 	c.held += e.size()
+	if c.ended {
+		e.sent()
+	}
 	if c.writing {
 		return
 	}
@@ -286,6 +305,7 @@
 		last := c.isLast(x)
 		c.mu.Unlock()
 		err := x.write(last)
+		x.sent()
 		c.mu.Lock()
 		c.pop(x)
 		if err != nil {
@@ -325,6 +345,11 @@
 // held.
 func (c *conn) end() {
 	c.ended = true
+	for _, e := range c.queue[:min(c.started, len(c.queue))] {
+		if e.done {
+			e.sent()
+		}
+	}
 	c.drop(c.queue[min(c.started, len(c.queue)):])
 	c.queue, c.started = nil, 0
 	c.signal()
@@ -335,6 +360,7 @@
 // drop ends exchanges that were not started.
 func (c *conn) drop(l []*exchange) {
 	for _, e := range l {
+		e.memory.give()
 		if e.body != nil {
 			e.body.end()
 		}
@@ -391,6 +417,8 @@
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.As(err, &HeadTimeout{}):
 		return http.StatusRequestTimeout
+	case errors.As(err, &HeadNoMemory{}):
+		return http.StatusServiceUnavailable
 	case errors.As(err, &errEnded{}), errors.Is(err, io.EOF), errors.Is(err, io.ErrClosedPipe), errors.As(err, &n):
 		return 0
 	}
@@ -435,7 +463,7 @@
 	if c.context.Err() != nil {
 		return
 	}
-	t, ok := c.net.(*net.TCPConn)
+	t, ok := c.net.(interface{ CloseWrite() error })
 	if !ok {
 		return
 	}
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -26,6 +26,10 @@
 	header  http.Header
 	status  int
 	content bytes.Buffer
+	// memory is that of the head of the request.
+	memory *headMemory
+	// onSent, if set, is called once the response has been sent or dropped.
+	onSent func()
 	// done is set once the response is complete; conn.mu guards it.
 	done bool
 }
@@ -61,12 +65,15 @@
 
 // run calls the handler and completes the response.
 func (e *exchange) run() {
+	e.conn.holder.Hold()
 	if e.request != nil {
 		e.handle()
 	}
 	if e.body != nil {
 		e.body.finish()
 	}
+	e.releaseHead()
+	e.conn.holder.Release()
 	e.conn.complete(e)
 }
 
@@ -153,16 +160,28 @@
 		h.Set("Content-Length", strconv.Itoa(e.content.Len()))
 	}
 	var b bytes.Buffer
-	b.Grow(headEstimate + e.content.Len())
+	b.Grow(headEstimate + min(e.content.Len(), joinedBody))
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(e.status) + " " + http.StatusText(e.status) + "\r\n")
 	// Writes to a bytes.Buffer do not fail.
 	_ = h.Write(&b)
 	b.WriteString("\r\n")
-	if hasBody && !isHead {
+	if !hasBody || isHead {
+		return e.conn.writeAll(b.Bytes())
+	}
+	if e.content.Len() <= joinedBody {
 		b.Write(e.content.Bytes())
+		return e.conn.writeAll(b.Bytes())
+	}
+	if err := e.conn.writeAll(b.Bytes()); err != nil {
+		return err
 	}
-	return e.conn.writeAll(b.Bytes())
+	return e.conn.writeAll(e.content.Bytes())
 }
 
+// joinedBody is the size in bytes up to which a body is copied behind its head, so
+// that both are sent with one write. Copies of larger bodies would double the memory
+// of responses that are not read.
+const joinedBody = 16 << 10
+
 // headEstimate is the usual size of a response without its body, in bytes.
 const headEstimate = 512
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/connlimit"
 )
 
 // Limits bound what one connection may occupy, and for how long.
@@ -60,6 +61,13 @@
 	Independent func(*http.Request) bool
 	// Limits returns the limits in force.
 	Limits func() Limits
+	// Heads, if set, bounds the memory of the heads of requests beyond
+	// connlimit.FreeHead for each connection. A request whose head finds none in time
+	// gets 503.
+	Heads *connlimit.Budget
+	// Busy, if set, reports whether requests may not run beside others, since
+	// responses that wait for their callers occupy the memory.
+	Busy func() bool
 	// NotRead, if set, is called for each request that was read and is dropped
 	// because the connection ends with an earlier response.
 	NotRead func(*http.Request)
