Bound the memory of responses that callers do not read

Cause: a response left the memory budget as soon as it was complete, and then waited in the connection for a caller that might never read it, eight for each connection. The free part of each body, 64 KiB, did not depend on the memory.

Change: the body of a response keeps its part of the budget until it has been sent or dropped. While the budget is used up, connections whose callers have not read for a second are closed, for 1.5 s at most; then the response ends as 502 memoryFull, as before. While half of it is used, no pipelined request starts beside another.

The spec of unfinished responses expected that the budget is empty once all callers have their responses. The memory is now given back after the last byte has been sent, which is not ordered with the caller's reading of it; the spec waits for the same value.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -30,6 +30,7 @@
 	cancel   context.CancelFunc
 	response *http.Response
 	body     []byte
+	memory   *responseMemory
 	// superseded is set before an attempt is cancelled because another one has
 	// settled the call, overdue once the attempt has taken so long that it
 	// counts against the health of its target.
@@ -182,9 +183,7 @@
 func (a *attempt) readResponse() (*refusal, bool) {
 	c := a.call
 	b, err := c.host.responseBuffers.read(a.response.Body, maxBufferedResponse)
-	// The budget bounds what unfinished responses occupy: a complete one is soon
-	// sent to the caller.
-	c.host.responseBuffers.give(b.reserved)
+	a.memory.set(b.reserved)
 	if err == nil {
 		err = a.validate()
 	}
--- a/edge/body_budget.go
+++ b/edge/body_budget.go
@@ -25,16 +25,21 @@
 type bodyBudget struct {
 	// limit is in bytes. It must be set before the budget is used.
 	limit int64
-	used  atomic.Int64
+	// free is the number of bytes of each body that are buffered without the budget.
+	free int
+	// reclaim, if set, closes a connection whose caller does not read its responses.
+	// It returns false if there is none.
+	reclaim func() bool
+	used    atomic.Int64
 }
 
 // newBodyBudget returns the budget of a host with the given memory in bytes, 0 if
 // unknown.
 func newBodyBudget(memory int64) *bodyBudget {
 	if memory <= 0 {
-		return &bodyBudget{limit: defaultBuffers}
+		return &bodyBudget{limit: defaultBuffers, free: freeBuffer}
 	}
-	return &bodyBudget{limit: int64(float64(memory) * bufferShare)}
+	return &bodyBudget{limit: int64(float64(memory) * bufferShare), free: freeBuffer}
 }
 
 // take reserves n bytes. It returns false if fewer are left.
@@ -93,8 +98,8 @@
 // grow doubles the buffer. It returns false if the budget is used up.
 func (b *bodyBudget) grow(x *buffered, limit int) bool {
 	size := min(2*cap(x.bytes), limit)
-	more := max(size-freeBuffer, 0) - x.reserved
-	if !b.take(more) {
+	more := max(size-b.free, 0) - x.reserved
+	if !b.take(more) && !b.takeReclaimed(more) {
 		return false
 	}
 	x.reserved += more
--- a/edge/call.go
+++ b/edge/call.go
@@ -51,6 +51,8 @@
 	streamed bool
 	// reserved is the number of bytes of the body taken from the host's budget.
 	reserved int
+	// responses is the memory of the responses of all attempts.
+	responses []*responseMemory
 	// attempts is the number of attempts, unsent the number of those in which
 	// nothing was sent to the target. mayHaveRun is true once a target may have run
 	// the request.
--- a/edge/host.go
+++ b/edge/host.go
@@ -81,6 +81,9 @@
 	h.started = h.Clock.Now()
 	h.metrics = newMetrics()
 	h.requestBuffers, h.responseBuffers = newBodyBudget(h.Settings.Memory), newBodyBudget(h.Settings.Memory)
+	if n := h.Settings.Limits.FreeBody; n > 0 {
+		h.requestBuffers.free, h.responseBuffers.free = n, n
+	}
 	h.view = &fleetView{zone: h.Settings.Zone, self: h.Settings.ID, retry: h.Settings.Retry, random: rand.IntN, log: h.Log}
 	h.view.run()
 	peers := &wire.Pool{Secret: h.Settings.Secret}
@@ -128,6 +131,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+h.ReadyPath, h.serveReady)
 	callers := &connlimit.Listener{Listener: l, Name: "callers", Max: h.Settings.Limits.Callers}
+	h.responseBuffers.reclaim = callers.EvictBlocked
 	ready := &connlimit.Listener{Listener: r, Name: "ready", Max: h.Settings.Limits.Ready, Heads: h.heads()}
 	s := ready.Server(m)
 	s.ErrorLog = zap.NewStdLog(h.Log)
@@ -146,7 +150,7 @@
 func (h *Host) callerServer() *pipeline.Server {
 	return &pipeline.Server{
 		Handler: h, Independent: h.independent, Limits: h.callerLimits, NotRead: h.logNotRead, Log: h.Log,
-		Heads: h.heads(),
+		Heads: h.heads(), Busy: h.responseBuffers.scarce,
 	}
 }
 
@@ -245,7 +249,7 @@
 		c.start -= clock.FromDuration(time.Since(t))
 	}
 	h.control.noteRequest(now)
-	defer c.releaseBody()
+	defer c.releaseBodies()
 	if x := c.admit(); x != nil {
 		if c.account != nil && x.reason == OverQuota {
 			h.view.countOutcome(h.Clock.Now(), h.view.pickService(c.route), false)
@@ -269,9 +273,6 @@
 	c.writeResponse(a)
 }
 
-// releaseBody gives the memory of the request's body back to the budget.
-func (c *call) releaseBody() { c.host.requestBuffers.give(c.reserved) }
-
 // overdue records that a target has not responded within the usual time.
 func (h *Host) overdue(service string, a *attempt) {
 	a.overdue.Store(true)
@@ -310,6 +311,7 @@
 	c.host.metrics.latency.record(c.kind()+".answered", c.host.Clock.Now()-c.start)
 	c.host.metrics.responses.Add(c.service+"."+strconv.Itoa(a.response.StatusCode/100), 1)
 	c.w.WriteHeader(a.response.StatusCode)
+	a.memory.keepUntilSent(c.w)
 	// The error is of no use: the caller has disconnected.
 	_, _ = c.w.Write(a.body)
 }
--- a/edge/send.go
+++ b/edge/send.go
@@ -230,7 +230,11 @@
 	c.attempts++
 	c.host.gossip.scheduleSend()
 	c.host.metrics.countBytes(h.Zone != c.host.Settings.Zone, "Bodies", len(c.body))
-	a := &attempt{call: c, choice: h, started: now, counted: c.host.view.beginAttempt(now, c.service, c.route.Name, h)}
+	a := &attempt{
+		call: c, choice: h, started: now, counted: c.host.view.beginAttempt(now, c.service, c.route.Name, h),
+		memory: &responseMemory{budget: c.host.responseBuffers},
+	}
+	c.responses = append(c.responses, a.memory)
 	a.context, a.cancel = context.WithCancel(c.context)
 	return a, nil
 }
