Count requests whose heads find no memory

Cause: the 503 for a head without memory left no trace in the metrics.

Change: counter refusals.headMemoryFull. There is no log line: the request's ID has not been parsed. No spec shows the counter.

--- a/edge/host.go
+++ b/edge/host.go
@@ -150,10 +150,12 @@
 func (h *Host) callerServer() *pipeline.Server {
 	return &pipeline.Server{
 		Handler: h, Independent: h.independent, Limits: h.callerLimits, NotRead: h.logNotRead, Log: h.Log,
-		Heads: h.heads(), Busy: h.responseBuffers.scarce,
+		Heads: h.heads(), NoMemory: h.countNoHeadMemory, Busy: h.responseBuffers.scarce,
 	}
 }
 
+func (h *Host) countNoHeadMemory() { h.metrics.refusals.Add(string(HeadMemoryFull), 1) }
+
 // heads returns a budget for the heads of a listener, nil if they are not bounded.
 func (h *Host) heads() *connlimit.Budget {
 	if h.Settings.Limits.Heads <= 0 {
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -33,6 +33,8 @@
 	BodyTooLate    Reason = "bodyTooLate"
 	// MemoryFull counts requests whose responses found no memory; see bodyBudget.
 	MemoryFull Reason = "memoryFull"
+	// HeadMemoryFull counts requests whose heads found no memory. They were not read.
+	HeadMemoryFull Reason = "headMemoryFull"
 	// HostFull counts requests that arrived while the host served as many as its
 	// descriptors allow.
 	HostFull Reason = "hostFull"
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -391,6 +391,9 @@
 // answered after the earlier ones; other errors mean that the caller has
 // disconnected or that the connection was idle.
 func (c *conn) endReading(err error) {
+	if errors.As(err, &HeadNoMemory{}) && c.server.NoMemory != nil {
+		c.server.NoMemory()
+	}
 	if s := errorStatus(err); s != 0 {
 		e := newExchange(c, nil)
 		e.respondError(s, err)
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -65,6 +65,9 @@
 	// connlimit.FreeHead for each connection. A request whose head finds none in time
 	// gets 503.
 	Heads *connlimit.Budget
+	// NoMemory, if set, is called for each request that is refused since its head
+	// found no memory.
+	NoMemory func()
 	// Busy, if set, reports whether requests may not run beside others, since
 	// responses that wait for their callers occupy the memory.
 	Busy func() bool
