Merge limits for clients that misbehave

With streaming alone the spec of pipelined large responses failed: streams that nobody read held all slots of the target, and an ordinary request got 503 for 20 s.

--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -31,6 +31,11 @@
 	CallerLeft     Reason = "callerLeft"
 	Quarantined    Reason = "quarantined"
 	BodyTooLate    Reason = "bodyTooLate"
+	// HeadMemoryFull counts requests whose heads found no memory. They were not read.
+	HeadMemoryFull Reason = "headMemoryFull"
+	// HostFull counts requests that arrived while the host served as many as its
+	// descriptors allow.
+	HostFull Reason = "hostFull"
 	// Stopping counts requests that a leaving host might not answer before it ends.
 	Stopping Reason = "stopping"
 	// NotRead counts requests behind a response that ends their connection; they
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -46,11 +46,18 @@
 	used  *atomic.Int64
 }
 
+// take reserves n bytes. If the budget of the host is used up, it closes a connection
+// whose caller has not read for a while: streams without memory hold the slots of their
+// targets, which other callers need.
 func (b *streamBudget) take(n int) bool {
-	if b.used.Add(int64(n)) <= b.limit && b.all.take(n) {
+	own := b.used.Add(int64(n)) <= b.limit
+	if own && b.all.take(n) {
 		return true
 	}
 	b.used.Add(-int64(n))
+	if own && b.all.reclaim != nil {
+		b.all.reclaim()
+	}
 	return false
 }
 
--- a/pipeline/exchange.go
+++ b/pipeline/exchange.go
@@ -27,6 +27,8 @@
 	header  http.Header
 	status  int
 	content bytes.Buffer
+	// memory is that of the head of the request.
+	memory *headMemory
 	// done is set once the response is complete; conn.mu guards it.
 	done bool
 	// turn comes once the exchange is the first of its connection. stream is nil if the
@@ -66,12 +68,15 @@
 
 // run calls the handler and completes the response.
 func (e *exchange) run() {
+	e.conn.holder.Hold()
 	if e.request != nil {
 		e.handle()
 	}
 	if e.body != nil {
 		e.body.finish()
 	}
+	e.releaseHead()
+	e.conn.holder.Release()
 	e.conn.complete(e)
 }
 
@@ -166,12 +171,19 @@
 		h.Set("Content-Length", strconv.Itoa(e.content.Len()))
 	}
 	var b bytes.Buffer
-	b.Grow(headEstimate + e.content.Len())
+	b.Grow(headEstimate + min(e.content.Len(), joinedBody))
 	e.writeHead(&b, last)
-	if e.bodyAllowed() {
+	if !e.bodyAllowed() {
+		return e.conn.writeAll(b.Bytes())
+	}
+	if e.content.Len() <= joinedBody {
 		b.Write(e.content.Bytes())
+		return e.conn.writeAll(b.Bytes())
+	}
+	if err := e.conn.writeAll(b.Bytes()); err != nil {
+		return err
 	}
-	return e.conn.writeAll(b.Bytes())
+	return e.conn.writeAll(e.content.Bytes())
 }
 
 // writeHead writes the status line and the headers to b.
@@ -194,5 +206,10 @@
 	b.WriteString("\r\n")
 }
 
+// joinedBody is the size in bytes up to which a body is copied behind its head, so
+// that both are sent with one write. Copies of larger bodies would double the memory
+// of responses that are not read.
+const joinedBody = 16 << 10
+
 // headEstimate is the usual size of a response without its body, in bytes.
 const headEstimate = 512
--- a/pipeline/stream.go
+++ b/pipeline/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -124,7 +123,7 @@
 		// HTTP/1.0 has no chunks; the end of the connection ends the body.
 		s.chunked = e.request.ProtoAtLeast(1, 1)
 	}
-	if t, ok := e.conn.net.(*net.TCPConn); ok {
+	if t, ok := e.conn.net.(interface{ SetWriteBuffer(int) error }); ok {
 		// Without the limit, large responses only delay others more.
 		_ = t.SetWriteBuffer(streamWindow)
 	}
@@ -179,7 +178,7 @@
 	}
 	if s.err != nil && s.left < 0 && !s.chunked {
 		// Only a reset tells the caller that the end is not regular.
-		if t, ok := e.conn.net.(*net.TCPConn); ok {
+		if t, ok := e.conn.net.(interface{ SetLinger(int) error }); ok {
 			_ = t.SetLinger(0)
 		}
 	}
