--- a/balance/health_check.go
+++ b/balance/health_check.go
@@ -28,19 +28,6 @@
 	costChecked     = 0.3
 	costCheckedLate = 0.1
 	checkedLate     = 10 * clock.Second
-	// Requests that must not be repeated try a target again after as long a time as
-	// it has been failing, within minTrialPause and maxTrialPause: at targets that
-	// fail in spells of 10 to 20 s while their health path reports no problem, a
-	// fixed time cost 5 to 15 requests in each spell.
-	minTrialPause = 5 * clock.Second
-	maxTrialPause = 15 * clock.Second
-	// trialStagger is the additional part of the pause for each owner after the
-	// first, so that owners do not try at the same time.
-	trialStagger = 0.25
-	// maxUnservedForPauses is the share of requests that are not served above which
-	// there are no such pauses. While a tenth is not served, the floor of targets in
-	// use binds, and a host sees only a few of the fleet's requests.
-	maxUnservedForPauses = 0.05
 	// checkedSuccessesNeeded is the number of successes that a target still needs
 	// after it has passed enough checks. A health path may report a target as
 	// healthy that fails its requests, so that the last successes must be those of
@@ -102,25 +89,9 @@
 	return true
 }
 
-// trialRisk returns the risk of a target that needs only the success of a request:
-// the longer ago its failure, the less likely that it goes on failing.
-func (p *Pool) trialRisk(now clock.Millis, t *target) float64 {
-	at := t.failAt + p.trialPause(now, t)
-	if now < at {
-		return costUnhealthy
-	}
-	elapsed := float64(min(now-at, checkedLate)) / float64(checkedLate)
+// checkedRisk returns the risk of a target that needs only the success of a
+// request: the longer ago its failure, the less likely that it goes on failing.
+func (t *target) checkedRisk(now clock.Millis) float64 {
+	elapsed := float64(min(now-t.failAt, checkedLate)) / float64(checkedLate)
 	return costChecked - (costChecked-costCheckedLate)*elapsed
 }
-
-// trialPause returns the time after the last failure of a target in which this host
-// sends it no requests that must not be repeated. It is 0 while too many requests are
-// not served: the targets in use may then be no better.
-func (p *Pool) trialPause(now clock.Millis, t *target) clock.Millis {
-	if p.unserved.share(now) > maxUnservedForPauses {
-		return 0
-	}
-	pause := max(min(t.failAt-t.healthChangedAt, maxTrialPause), minTrialPause)
-	rank := max(slices.Index(t.owners, p.Self), 0)
-	return pause + clock.Millis(trialStagger*float64(rank)*float64(pause))
-}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -41,8 +41,6 @@
 	// hasProbes is true.
 	probeRequestAt clock.Millis
 	hasProbes      bool
-	// unserved is the recent share of requests that were not served.
-	unserved unservedShare
 	// anyHealthy is true if any target that accepts requests is healthy.
 	anyHealthy bool
 	// rollout is the last roll-out of the service.
--- a/edge/fleet_view.go
+++ b/edge/fleet_view.go
@@ -257,13 +257,6 @@
 	return v.retryBudget(service).Spend()
 }
 
-// countOutcome counts a request of a service as served or not.
-func (v *fleetView) countOutcome(now clock.Millis, service string, served bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.pool(service).CountOutcome(now, served)
-}
-
 // recordLatency records the latency of a response on a route.
 func (v *fleetView) recordLatency(route string, took clock.Millis) {
 	v.mu.Lock()
--- a/edge/host.go
+++ b/edge/host.go
@@ -254,9 +254,6 @@
 	h.control.noteRequest(now)
 	defer c.releaseBody()
 	if x := c.admit(); x != nil {
-		if c.account != nil && x.reason == OverQuota {
-			h.view.countOutcome(h.Clock.Now(), h.view.pickService(c.route), false)
-		}
 		c.refuse(x)
 		return
 	}
@@ -268,7 +265,6 @@
 	}
 	c.service = h.view.pickService(c.route)
 	a, x := c.send()
-	h.view.countOutcome(h.Clock.Now(), c.service, x == nil && a.response.StatusCode < http.StatusInternalServerError)
 	if x != nil {
 		c.refuse(x)
 		return
