--- a/edge/stream_test.go
+++ b/edge/stream_test.go
@@ -263,7 +263,7 @@
 		_, err := io.ReadAll(r.response.Body)
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 		Expect(time.Since(start)).To(BeNumerically("<", 1500*time.Millisecond))
-		Eventually(w.attempts("timedOut")).Should(Equal("1"))
+		Eventually(w.attempts("timedOut")).Should(Equal("1"), w.host.metrics.attempts.String)
 	})
 
 	// Guards against healthy targets that get no requests because callers read slowly.
