Forward the whole body of a caller that leaves after an early response

A caller that had the whole response of a target that responds early, and had sent its whole body, could leave while the last part of the body was still being forwarded. Its departure cancelled the exchange, so that the target got a cut body.

Once the response has been read to its end, the context no longer ends the exchange; a body that the caller cuts off still does.

--- a/forward/early_response_test.go
+++ b/forward/early_response_test.go
@@ -192,6 +192,28 @@
 		Entry("no length", noLength, halfCloses),
 	)
 
+	// Guards against a caller that leaves once it has the whole response, while the rest
+	// of the body that it has sent is still being forwarded.
+	DescribeTable("does not end the body of a caller that has left since",
+		func(response string, then int) {
+			for _, length := range []int64{upload, -1} {
+				t := newEarly(response, then)
+				ctx, leave := context.WithCancel(context.Background())
+				e := exchangeWithEarly(pool, t, length)
+				r, err := e.Run(ctx)
+				Expect(err).NotTo(HaveOccurred())
+				_, err = io.ReadAll(r.Body)
+				Expect(err).NotTo(HaveOccurred())
+				leave()
+				e.Finish()
+				Eventually(t.received, 5*time.Second).Should(Receive(Equal(upload)))
+			}
+		},
+		Entry("whole length", withLength, readsOn),
+		Entry("whole chunks", wholeChunks, readsOn),
+		Entry("no length", noLength, halfCloses),
+	)
+
 	// Guards against a response that is held until the deadline.
 	It("is not held for long by a target that does not read", func() {
 		e := exchangeWithEarly(pool, newEarly(withLength, stops), upload)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -201,8 +201,9 @@
 		err = checkLength(r)
 		if err != nil && e.Unframed {
 			r.Body = &closeDelimited{r.Body, e}
-			return r, nil
+			err = nil
 		}
+		r.Body = &responseBody{r.Body, e}
 		return r, err
 	}
 }
@@ -269,12 +270,12 @@
 }
 
 // Finish ends an exchange whose response was read to its end. If the target
-// responded early and reads on, it waits until the rest of the request has been sent.
-// It returns the connection to the pool if the whole request was sent, the target
+// responded early and reads on, it waits until the rest of the request has been sent,
+// also if the context has been cancelled since. It returns the connection to the pool if the whole request was sent, the target
 // keeps the connection open and no data is left on it.
 func (e *Exchange) Finish() {
-	sent, err := e.awaitSent()
 	e.stopInterrupt()
+	sent, err := e.awaitSent(context.Background())
 	if sent && err == nil && !e.response.Close && e.conn.reader.Buffered() == 0 {
 		_ = e.conn.SetDeadline(time.Time{})
 		e.conn.idleLimit = keepAlive(e.response)
--- a/forward/response_end.go
+++ b/forward/response_end.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -57,30 +58,47 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if _, failed := b.exchange.awaitSent(); failed != nil {
+	if _, failed := b.exchange.awaitSent(b.exchange.context); failed != nil {
 		return n, Reset{failed}
 	}
 	return n, err
 }
 
+// responseBody ends the effect of the context on the exchange once the response has
+// been read to its end. A caller that has the whole response may leave while the last
+// part of its request is still on the way to a target that responded early.
+type responseBody struct {
+	io.ReadCloser
+	exchange *Exchange
+}
+
+// Read reads from the body.
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.exchange.stopInterrupt()
+	}
+	return n, err
+}
+
 // stalledAfter is how long a complete response waits for a target that reads nothing
 // of the rest of the request. It is longer than the pauses of a target that is busy,
 // and shorter than most objectives, since the response is ready.
 const stalledAfter = 1 * clock.Second
 
 // awaitSent waits until the whole request has been sent, for as long as the target
-// reads it. Sent is false if it has stopped reading, or the exchange was cancelled;
-// err is the error of sending.
-func (e *Exchange) awaitSent() (sent bool, err error) {
+// reads it. Sent is false if it has stopped reading, or ctx was cancelled; err is the
+// error of sending.
+func (e *Exchange) awaitSent(ctx context.Context) (sent bool, err error) {
 	for before := e.conn.written.Load(); ; {
 		t := time.NewTimer(stalledAfter.Duration())
 		select {
 		case <-e.sent:
 			t.Stop()
 			return true, e.sendError
-		case <-e.context.Done():
+		case <-ctx.Done():
 			t.Stop()
-			return false, e.context.Err()
+			return false, ctx.Err()
 		case <-t.C:
 		}
 		n := e.conn.written.Load()
