Give proposals that arrive during a write to the log as one batch

Cause: the replica of a control process wrote each proposal to the disk when its message came up in the mailbox. A configuration waited behind the writes of all announcements that had arrived before it.

Change: a proposal, or a message of another replica, puts one flush at the end of the mailbox. The flush handles all that has arrived until then: one write for the messages that append entries, one for the proposals. A single proposal is written at once. Each entry of a batch keeps its own outcome. A batch has up to 32 MiB, since the log stores it as one record.

--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -170,9 +170,11 @@
 // The messages to the replica actor. Those that expect a response are sent with
 // request.
 type (
-	tick     struct{}
-	deliver  struct{ Messages []replica.Message }
-	propose  struct{ Data []byte }
+	tick    struct{}
+	deliver struct{ Messages []replica.Message }
+	propose struct{ Data []byte }
+	// flush handles what has arrived in the meantime; see Replica.flush.
+	flush    struct{}
 	exchange struct{ Args ExchangeArgs }
 	borrow   struct{ Args BorrowArgs }
 	loan     struct {
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -39,7 +39,12 @@
 	// documents are the last configuration documents in force.
 	documents documentHistory
 	// proposals are by the index of their log entry.
-	proposals     map[uint64]*pendingProposal
+	proposals map[uint64]*pendingProposal
+	// batch and inbox hold the proposals and the messages of other replicas that wait
+	// for the next flush; flushSent is true while a flush is in the mailbox.
+	batch         []queuedProposal
+	inbox         []replica.Message
+	flushSent     bool
 	pendingProofs []pendingProof
 	pendingReads  []*pendingRead
 	// pendingExchanges are exchanges of hosts that wait for the first proof.
@@ -56,8 +61,6 @@
 	// rollouts holds the counts of the running roll-outs.
 	rollouts *rolloutTable
 	lender   *lender
-	// superseded is the outcome of the last entry applied; see applyData.
-	superseded bool
 	// leaving holds when processes that stop last asked the leader to leave, by
 	// replica ID.
 	leaving  map[string]clock.Millis
@@ -81,6 +84,16 @@
 	term   uint64
 }
 
+// queuedProposal is the encoded change of a proposal that is not in the log yet.
+type queuedProposal struct {
+	sender *actor.PID
+	data   []byte
+}
+
+// maxBatchBytes bounds the proposals of one batch, unless it is a single one: the log
+// stores a batch as one record, as JSON, and a record has at most 256 MiB.
+const maxBatchBytes = 32 << 20
+
 // pendingRead waits for a proof that is not older than since.
 type pendingRead struct {
 	sender *actor.PID
@@ -110,11 +123,12 @@
 		r.reviewMembers(now)
 		r.reviewRollouts(now)
 	case *deliver:
-		for _, x := range m.Messages {
-			r.node.Step(now, x)
-		}
+		r.inbox = append(r.inbox, m.Messages...)
+		r.requestFlush(c)
 	case *propose:
-		r.propose(c, now, m)
+		r.propose(c, m)
+	case *flush:
+		r.flush(c, now)
 	case *exchange:
 		r.serveExchange(now, c.Sender(), m.Args)
 	case *borrow:
@@ -187,8 +201,9 @@
 	r.node = &replica.Node{
 		ID: r.ID, ElectionTimeout: electionTimeout, Heartbeat: heartbeat, CompactAfter: compactAfter, FirstElectionTimeout: firstElectionTimeout,
 		Random: rand.IntN, Storage: r.Storage, Apply: r.apply, Capture: r.capture, Restore: r.restore,
-		Sequence:    func() uint64 { return r.state.Sequence },
-		OnViolation: r.Failed,
+		Sequence:         func() uint64 { return r.state.Sequence },
+		ProposalsWaiting: func() bool { return len(r.batch) > 0 },
+		OnViolation:      r.Failed,
 	}
 	r.node.Run(now, r.Stored, r.bootstrapMembers())
 }
@@ -257,10 +272,10 @@
 // apply applies a committed entry and responds to the proposal that waits for
 // it. Another term than the proposal's means that another entry took its place.
 func (r *Replica) apply(e replica.Entry) {
-	r.superseded = r.applyData(e)
+	superseded := r.applyData(e)
 	if w := r.proposals[e.Index]; w != nil {
 		delete(r.proposals, e.Index)
-		r.Respond(w.sender, ProposeReply{Accepted: w.term == e.Term, Superseded: r.superseded, Sequence: r.state.Sequence})
+		r.Respond(w.sender, ProposeReply{Accepted: w.term == e.Term, Superseded: superseded, Sequence: r.state.Sequence})
 	}
 }
 
@@ -322,17 +337,68 @@
 	r.lender.setLimits(r.Clock.Now(), s.Config)
 }
 
-func (r *Replica) propose(c actor.Context, now clock.Millis, m *propose) {
-	i, err := r.node.Propose(now, m.Data)
-	if err != nil || i == 0 {
+// propose queues a proposal for the next batch, if this replica leads.
+func (r *Replica) propose(c actor.Context, m *propose) {
+	if r.node.Role() != replica.Leader {
 		c.Respond(ProposeReply{Leader: r.leaderAddr()})
 		return
 	}
-	r.proposals[i] = &pendingProposal{sender: c.Sender(), term: r.node.Term()}
-	if r.node.Commit() >= i {
-		delete(r.proposals, i)
-		// The only voter commits an entry at once, as the last one.
-		c.Respond(ProposeReply{Accepted: true, Superseded: r.superseded, Sequence: r.state.Sequence})
+	r.batch = append(r.batch, queuedProposal{c.Sender(), m.Data})
+	r.requestFlush(c)
+}
+
+// requestFlush puts a flush at the end of the mailbox, behind everything that arrived
+// during the last write to the disk.
+func (r *Replica) requestFlush(c actor.Context) {
+	if !r.flushSent {
+		r.flushSent = true
+		c.Send(c.Self(), &flush{})
+	}
+}
+
+// flush handles the messages of other replicas that have arrived since the last flush,
+// and appends the proposals, each with one write.
+func (r *Replica) flush(c actor.Context, now clock.Millis) {
+	r.flushSent = false
+	l := r.inbox
+	r.inbox = nil
+	r.node.StepAll(now, l)
+	r.proposeBatch(now)
+	if len(r.batch) > 0 {
+		r.requestFlush(c)
+	}
+}
+
+// proposeBatch appends queued proposals, up to maxBatchBytes of them.
+func (r *Replica) proposeBatch(now clock.Millis) {
+	if r.node.Role() != replica.Leader {
+		for _, x := range r.batch {
+			r.Respond(x.sender, ProposeReply{Leader: r.leaderAddr()})
+		}
+		r.batch = nil
+		return
+	}
+	var data [][]byte
+	size := 0
+	for _, x := range r.batch {
+		if size += len(x.data); len(data) > 0 && size > maxBatchBytes {
+			break
+		}
+		data = append(data, x.data)
+	}
+	l := r.batch[:len(data)]
+	r.batch = append([]queuedProposal(nil), r.batch[len(data):]...)
+	// The only voter applies the entries before ProposeAll returns.
+	last, _ := r.node.Last()
+	for k, x := range l {
+		r.proposals[last+1+uint64(k)] = &pendingProposal{sender: x.sender, term: r.node.Term()}
+	}
+	if first, err := r.node.ProposeAll(now, data); err == nil && first > 0 {
+		return
+	}
+	for k, x := range l {
+		delete(r.proposals, last+1+uint64(k))
+		r.Respond(x.sender, ProposeReply{})
 	}
 }
 
