Propose announcements that arrive during a change together

Cause: a control process proposed each announcement by itself, each with a call to the leader.

Change: an announcer proposes the announcements that arrived while its last change was in progress as one change. A single one is proposed at once. All of a change are acknowledged together.

With a change for each announcement the first spec fails.

--- /dev/null
+++ b/coordinator/announcer_test.go
@@ -0,0 +1,71 @@
+package coordinator
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/carawayrack/carawayrack/catalog"
+)
+
+// announcing makes one announcement.
+type announcing struct {
+	a      *announcer
+	id     string
+	result chan error
+}
+
+func (x *announcing) run() { x.result <- x.a.announce(testTarget(x.id, 1, 1)) }
+
+var _ = Describe("announcements that arrive while a change is in progress", func() {
+	var a *announcer
+	var changes chan catalog.Change
+	var outcome, results chan error
+	announce := func(n int) {
+		for k := 0; k < n; k++ {
+			x := &announcing{a, fmt.Sprint(k), results}
+			go x.run()
+		}
+	}
+	waiting := func() int {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.waiting)
+	}
+	BeforeEach(func() {
+		changes, outcome, results = make(chan catalog.Change, 9), make(chan error), make(chan error, 500)
+		stopped := make(chan struct{})
+		submitted, results := changes, outcome
+		a = &announcer{Stopped: stopped, Submit: func(c catalog.Change) error { submitted <- c; return <-results }}
+		a.Run()
+		DeferCleanup(func() { close(stopped) })
+	})
+
+	// Guards against a proposal for each target when thousands of them start.
+	It("become one change, and are acknowledged only with all of it", func() {
+		announce(1)
+		Eventually(changes, waitTimeout).Should(Receive(HaveField("Targets", HaveLen(1))), "a single announcement is not delayed")
+		announce(100)
+		Eventually(waiting, waitTimeout).Should(Equal(100))
+		outcome <- nil
+		Eventually(results, waitTimeout).Should(Receive(BeNil()))
+		Eventually(changes, waitTimeout).Should(Receive(HaveField("Targets", HaveLen(100))))
+		Expect(results).NotTo(Receive())
+		outcome <- Unavailable{Cause: "the leader is lost"}
+		for k := 0; k < 100; k++ {
+			Eventually(results, waitTimeout).Should(Receive(MatchError(Unavailable{Cause: "the leader is lost"})))
+		}
+	})
+
+	// Guards against announcements that wait for the time limit of a call to a lost
+	// leader although there is a new one.
+	It("do not wait for a change without an outcome", func() {
+		announce(1)
+		Eventually(changes, waitTimeout).Should(Receive())
+		announce(1)
+		Eventually(changes, announceTimeout.Duration()).Should(Receive())
+		outcome <- nil
+		outcome <- nil
+	})
+})
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -35,6 +35,8 @@
 	server *wire.Server
 	pool   *wire.Pool
 	outbox *wire.Outbox[replica.Message]
+	// announcer proposes the announcements of targets.
+	announcer *announcer
 
 	mu   sync.Mutex
 	pid  *actor.PID
@@ -75,6 +77,8 @@
 	if err := c.server.Register("Peer", Peer{c}); err != nil {
 		return err
 	}
+	c.announcer = &announcer{Submit: c.submit, Stopped: c.stopped}
+	c.announcer.Run()
 	c.startReplica()
 	if err := c.server.Run(); err != nil {
 		return err
--- a/coordinator/operations.go
+++ b/coordinator/operations.go
@@ -125,7 +125,7 @@
 		return n.Core, err
 	}
 	t.Unlisted = n.Unlisted
-	return n.Core, c.submit(catalog.Change{Targets: []catalog.Target{t}})
+	return n.Core, c.announcer.announce(t)
 }
 
 // departureNumber orders a departure after every announcement of its
