Move the latency histograms of a host to package latency

They hold nothing of package edge: latency.Histograms stands beside latency.Routes. The metrics and their names are unchanged.

--- a/edge/host.go
+++ b/edge/host.go
@@ -301,7 +301,7 @@
 		account = c.account.Name
 	}
 	now := c.host.Clock.Now()
-	c.host.metrics.latency.record(c.kind()+".refused", now-c.start)
+	c.host.metrics.latency.Record(c.kind()+".refused", now-c.start)
 	_, age := c.host.view.current(now)
 	c.host.Log.Info("refused", zap.String("request", c.id), zap.String("reason", string(x.reason)), zap.Int("status", x.status),
 		zap.String("cause", x.cause), zap.String("route", name), zap.String("account", account),
@@ -321,6 +321,6 @@
 
 // countResponse counts a response of a target that is sent to the caller.
 func (c *call) countResponse(a *attempt) {
-	c.host.metrics.latency.record(c.kind()+".answered", c.host.Clock.Now()-c.start)
+	c.host.metrics.latency.Record(c.kind()+".answered", c.host.Clock.Now()-c.start)
 	c.host.metrics.responses.Add(c.service+"."+strconv.Itoa(a.response.StatusCode/100), 1)
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 
 	"github.com/carawayrack/carawayrack/balance"
+	"github.com/carawayrack/carawayrack/latency"
 )
 
 // metrics are the counters of the host.
@@ -27,7 +28,7 @@
 	// streams counts responses by service that were streamed to callers, and those of
 	// them that broke off: by the cause, the target, the caller or the deadline.
 	streams *expvar.Map
-	latency latencyHistograms
+	latency latency.Histograms
 }
 
 func newMetrics() *metrics {
@@ -42,7 +43,7 @@
 		expvar.Publish("hedgeShare", m.hedgeShare)
 		expvar.Publish("bytes", m.bytes)
 		expvar.Publish("streams", m.streams)
-		expvar.Publish("latencyMs", expvar.Func(m.latency.summary))
+		expvar.Publish("latencyMs", expvar.Func(m.latency.Summary))
 	}
 	return m
 }
--- a/edge/latency.go
+++ b/latency/histograms.go
@@ -1,4 +1,4 @@
-package edge
+package latency
 
 import (
 	"sync"
@@ -11,19 +11,21 @@
 // Range, in milliseconds, and precision, in decimal digits, of latency
 // histograms.
 const (
-	shortestLatency = 1
-	longestLatency  = 60_000
-	latencyDigits   = 2
+	shortest = 1
+	longest  = 60_000
+	digits   = 2
 )
 
-// latencyHistograms holds the latency of requests at the host, by the kind of
-// their route and whether they were answered or refused.
-type latencyHistograms struct {
+// Histograms holds the latency of requests at a host by name, such as the kind of
+// their route and whether they were answered or refused. The zero value is empty and
+// ready to use, also from several goroutines.
+type Histograms struct {
 	mu sync.Mutex
 	m  map[string]*hdrhistogram.Histogram
 }
 
-// Quantiles is the summary of a histogram, in milliseconds.
+// Quantiles is the summary of a histogram: the number of requests, and quantiles of
+// their latencies in milliseconds.
 type Quantiles struct {
 	Count int64 `json:"count"`
 	P50   int64 `json:"p50"`
@@ -32,8 +34,9 @@
 	Max   int64 `json:"max"`
 }
 
-// record adds one request.
-func (l *latencyHistograms) record(name string, took clock.Millis) {
+// Record adds one request. Latencies outside the range of the histograms, 1 ms to
+// 60 s, count as its nearest end.
+func (l *Histograms) Record(name string, took clock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.m == nil {
@@ -41,15 +44,16 @@
 	}
 	h := l.m[name]
 	if h == nil {
-		h = hdrhistogram.New(shortestLatency, longestLatency, latencyDigits)
+		h = hdrhistogram.New(shortest, longest, digits)
 		l.m[name] = h
 	}
 	// The value is within the range, so there is no error.
-	_ = h.RecordValue(int64(min(max(took, shortestLatency), longestLatency)))
+	_ = h.RecordValue(int64(min(max(took, shortest), longest)))
 }
 
-// summary returns the quantiles of each histogram for the metrics.
-func (l *latencyHistograms) summary() any {
+// Summary returns a map from names to the Quantiles of their histograms, as
+// expvar.Func needs it.
+func (l *Histograms) Summary() any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := map[string]Quantiles{}
--- a/latency/routes.go
+++ b/latency/routes.go
@@ -1,4 +1,5 @@
-// Package latency holds how long recent responses took, by route.
+// Package latency holds how long responses took: recent ones by route, and all of them
+// as histograms for metrics.
 package latency
 
 import (
