Move the hedge delay by average latencies to package hedge

The rule for services without a limit of hedges needs only the average latency and the objective: hedge.Delay stands beside hedge.NewTimes, the rule for services with a limit, and hedge.Averages holds the averages.

--- a/edge/fleet_view.go
+++ b/edge/fleet_view.go
@@ -11,6 +11,7 @@
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/hedge"
 	"github.com/carawayrack/carawayrack/quota"
 	"github.com/carawayrack/carawayrack/rollout"
 )
@@ -37,7 +38,7 @@
 	retryBudgets map[string]*quota.RetryBudget
 	queues       map[string]*balance.Queue
 	// latencies holds the average latency by route.
-	latencies averageLatencies
+	latencies hedge.Averages
 	// recorder counts the responses of versions.
 	recorder rollout.Recorder
 	// evacuatedZones are the zones that get no new requests.
@@ -48,7 +49,7 @@
 	v.pools = map[string]*balance.Pool{}
 	v.retryBudgets = map[string]*quota.RetryBudget{}
 	v.queues = map[string]*balance.Queue{}
-	v.latencies = averageLatencies{}
+	v.latencies = hedge.Averages{}
 	v.fleet = &coordinator.Fleet{}
 }
 
@@ -261,7 +262,7 @@
 func (v *fleetView) recordLatency(route string, took clock.Millis) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.latencies.record(route, took)
+	v.latencies.Record(route, took)
 }
 
 // routeLatency returns the average latency of a route, zero before the first
--- a/edge/hedging.go
+++ b/edge/hedging.go
@@ -28,7 +28,7 @@
 // hedgePlan is how a request will be hedged if it is slow.
 type hedgePlan struct {
 	// limit is the share of hedges of its service, 0 if none is set: the rule of
-	// hedgeDelay and the retry budget apply then.
+	// hedge.Delay and the retry budget apply then.
 	limit float64
 	delay clock.Millis
 	times hedge.Times
--- a/edge/send.go
+++ b/edge/send.go
@@ -9,6 +9,7 @@
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/hedge"
 )
 
 const (
@@ -157,7 +158,7 @@
 // hedgeDelay returns how long the first attempt may take before a second one
 // starts.
 func (c *call) hedgeDelay() clock.Millis {
-	return hedgeDelay(c.host.view.routeLatency(c.route.Name), c.route.Objective)
+	return hedge.Delay(c.host.view.routeLatency(c.route.Name), c.route.Objective)
 }
 
 // overdueAfter returns how long the first attempt may take before it is overdue.
@@ -166,9 +167,9 @@
 	if average == 0 {
 		// There is no response yet. More than the objective is allowed, so that
 		// the first target of a host that has just started does not count as slow.
-		return c.route.Objective + maxHedgeExtra
+		return c.route.Objective + hedge.MaxExtra
 	}
-	return hedgeDelay(average, 0)
+	return hedge.Delay(average, 0)
 }
 
 // mayAttempt reports whether the time and the route allow another attempt. Attempts
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -31,7 +31,7 @@
 	Retry RetryBudget
 	// HedgeShare is the share of the requests of a service that may be sent to a
 	// second target because the first one is slow, if the configuration has none for
-	// the service. 0: the rule of hedgeDelay applies, within the retry budget.
+	// the service. 0: the rule of hedge.Delay applies, within the retry budget.
 	HedgeShare float64
 	// Memory is the memory of the process in bytes, 0 if unknown.
 	Memory int64
