Move the memory for bodies to package buffer

The budget knows nothing of requests: buffer.Budget reads a body (buffer.Body) within the host's memory, and buffer.Full is the error of a body that finds none. Used replaces the access of specs to the counter. The spec of the budget alone moves with it; those that send requests to a host stay.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawayrack/carawayrack/balance"
+	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/forward"
 	"github.com/carawayrack/carawayrack/readahead"
@@ -200,27 +201,27 @@
 // what execute returns.
 func (a *attempt) readResponse() (*refusal, bool) {
 	c := a.call
-	b, err := c.host.responseBuffers.read(a.response.Body, streamSize)
-	if errors.As(err, &BufferFull{}) {
+	b, err := c.host.responseBuffers.Read(a.response.Body, streamSize)
+	if errors.As(err, &buffer.Full{}) {
 		err = nil
 	}
 	if err == nil {
 		err = a.validate()
 	}
-	if err == nil && !b.whole && a.response.StatusCode >= http.StatusInternalServerError && c.idempotent() {
-		err = InvalidResponse{"a failure with more than " + strconv.Itoa(len(b.bytes)) + " bytes"}
+	if err == nil && !b.Whole && a.response.StatusCode >= http.StatusInternalServerError && c.idempotent() {
+		err = InvalidResponse{"a failure with more than " + strconv.Itoa(len(b.Bytes)) + " bytes"}
 	}
 	if err != nil {
-		c.host.responseBuffers.give(b.reserved)
+		c.host.responseBuffers.Give(b.Reserved)
 		return a.reject(err)
 	}
-	if !b.whole || b.reserved > 0 {
+	if !b.Whole || b.Reserved > 0 {
 		a.newStream(b)
 	} else {
-		a.body = b.bytes
+		a.body = b.Bytes
 	}
-	c.host.sizes.record(c.route, b.whole)
-	if !b.whole {
+	c.host.sizes.record(c.route, b.Whole)
+	if !b.Whole {
 		return nil, false
 	}
 	o := balance.Served
--- a/edge/body_budget_test.go
+++ b/edge/body_memory_test.go
@@ -8,11 +8,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"testing/iotest"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"github.com/pkg/errors"
+
+	"github.com/carawayrack/carawayrack/buffer"
 )
 
 // halfBody is a target that answers each connection with the start of a body and
@@ -122,41 +122,24 @@
 		// changes any more once it waits for the rest of the bodies.
 		held := func() int64 { return liveHeap() - before }
 		GinkgoWriter.Printf("held at first: %d bytes\n", held())
-		Eventually(held, "20s").Should(BeNumerically("<", defaultBuffers+responses*(freeBuffer+64<<10)))
-		Consistently(held).Should(BeNumerically("<", defaultBuffers+responses*(freeBuffer+64<<10)))
+		Eventually(held, "20s").Should(BeNumerically("<", buffer.DefaultLimit+responses*(buffer.DefaultFree+64<<10)))
+		Consistently(held).Should(BeNumerically("<", buffer.DefaultLimit+responses*(buffer.DefaultFree+64<<10)))
 		GinkgoWriter.Printf("held: %d bytes\n", held())
 		close(end)
 		done.Wait()
 		// The memory of a response is given back once it has been sent, which may be after
 		// its caller has got it.
-		Eventually(w.host.responseBuffers.used.Load).Should(BeZero())
-	})
-
-	It("is given back, and bodies that find none are cut where they are", func() {
-		b := &bodyBudget{limit: 1 << 20, free: freeBuffer}
-		x, err := b.read(strings.NewReader(strings.Repeat("x", 900<<10)), 2<<20)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(x.whole).To(BeTrue())
-		Expect(x.bytes).To(HaveLen(900 << 10))
-		y, err := b.read(strings.NewReader(strings.Repeat("y", 900<<10)), 2<<20)
-		Expect(errors.As(err, &BufferFull{})).To(BeTrue())
-		Expect(len(y.bytes)).To(BeNumerically(">=", freeBuffer))
-		b.give(x.reserved + y.reserved)
-		Expect(b.used.Load()).To(BeZero())
-		z, err := b.read(iotest.OneByteReader(strings.NewReader("small")), 2<<20)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(string(z.bytes)).To(Equal("small"))
-		Expect(z.reserved).To(BeZero())
+		Eventually(w.host.responseBuffers.Used).Should(BeZero())
 	})
 
 	It("does not refuse a request whose body finds none, which is streamed", func() {
 		t := newStandin("t1", ok)
 		w := newTestHost(t)
-		w.host.requestBuffers.limit = 0
+		w.host.requestBuffers.Limit = 0
 		body := strings.Repeat("z", 300<<10)
 		Expect(w.post("/unsafe/", body).status).To(Equal(200))
 		Expect(w.chunked("/unsafe/", strings.NewReader(body)).status).To(Equal(200))
 		Expect(t.body).To(Equal([]string{body, body}))
-		Expect(w.host.requestBuffers.used.Load()).To(BeZero())
+		Expect(w.host.requestBuffers.Used()).To(BeZero())
 	})
 })
--- a/edge/call.go
+++ b/edge/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 )
@@ -192,25 +193,25 @@
 	}
 	c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	c.host.bodyReads.begin(c)
-	b, err := c.host.requestBuffers.read(c.r.Body, maxBufferedBody)
+	b, err := c.host.requestBuffers.Read(c.r.Body, maxBufferedBody)
 	c.host.bodyReads.end(c)
-	c.reserved = b.reserved
+	c.reserved = b.Reserved
 	var large *http.MaxBytesError
 	switch {
-	case err == nil, errors.As(err, &BufferFull{}):
+	case err == nil, errors.As(err, &buffer.Full{}):
 	case errors.As(err, &large):
 		return &refusal{BodyTooLarge, http.StatusRequestEntityTooLarge, 0, "more than " + strconv.FormatInt(limit, 10)}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		if x := c.endsBefore(c.host.Clock.Now()); x != nil {
 			return x
 		}
-		return &refusal{BodyTooLate, http.StatusRequestTimeout, 0, strconv.Itoa(len(b.bytes)) + " bytes arrived"}
+		return &refusal{BodyTooLate, http.StatusRequestTimeout, 0, strconv.Itoa(len(b.Bytes)) + " bytes arrived"}
 	default:
 		return &refusal{BadRequest, http.StatusBadRequest, 0, "cannot read the request body: " + err.Error()}
 	}
-	c.body = b.bytes
-	if b.whole {
-		c.bodyLength = int64(len(b.bytes))
+	c.body = b.Bytes
+	if b.Whole {
+		c.bodyLength = int64(len(b.Bytes))
 		return nil
 	}
 	c.unreadBody, c.streamed = c.r.Body, true
--- a/edge/host.go
+++ b/edge/host.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/connlimit"
@@ -42,7 +43,7 @@
 	hedger      hedger
 	targetConns *forward.Pool
 	// requestBuffers and responseBuffers bound the memory for bodies.
-	requestBuffers, responseBuffers *bodyBudget
+	requestBuffers, responseBuffers *buffer.Budget
 	sizes                           responseSizes
 	// calls is the number of requests that may have a connection to a target.
 	calls   atomic.Int32
@@ -81,9 +82,9 @@
 func (h *Host) Run() error {
 	h.started = h.Clock.Now()
 	h.metrics = newMetrics()
-	h.requestBuffers, h.responseBuffers = newBodyBudget(h.Settings.Memory), newBodyBudget(h.Settings.Memory)
+	h.requestBuffers, h.responseBuffers = buffer.NewBudget(h.Settings.Memory), buffer.NewBudget(h.Settings.Memory)
 	if n := h.Settings.Limits.FreeBody; n > 0 {
-		h.requestBuffers.free, h.responseBuffers.free = n, n
+		h.requestBuffers.Free, h.responseBuffers.Free = n, n
 	}
 	h.view = &fleetView{zone: h.Settings.Zone, self: h.Settings.ID, retry: h.Settings.Retry, random: rand.IntN, log: h.Log}
 	h.view.run()
@@ -132,7 +133,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+h.ReadyPath, h.serveReady)
 	callers := &connlimit.Listener{Listener: l, Name: "callers", Max: h.Settings.Limits.Callers}
-	h.responseBuffers.reclaim = callers.EvictBlocked
+	h.responseBuffers.Reclaim = callers.EvictBlocked
 	ready := &connlimit.Listener{Listener: r, Name: "ready", Max: h.Settings.Limits.Ready, Heads: h.heads()}
 	s := ready.Server(m)
 	s.ErrorLog = zap.NewStdLog(h.Log)
@@ -151,7 +152,7 @@
 func (h *Host) callerServer() *pipeline.Server {
 	return &pipeline.Server{
 		Handler: h, Independent: h.independent, Limits: h.callerLimits, NotRead: h.logNotRead, Log: h.Log,
-		Heads: h.heads(), NoMemory: h.countNoHeadMemory, Busy: h.responseBuffers.scarce,
+		Heads: h.heads(), NoMemory: h.countNoHeadMemory, Busy: h.responseBuffers.Scarce,
 	}
 }
 
@@ -277,7 +278,7 @@
 }
 
 // releaseBody gives the memory of the request's body back to the budget.
-func (c *call) releaseBody() { c.host.requestBuffers.give(c.reserved) }
+func (c *call) releaseBody() { c.host.requestBuffers.Give(c.reserved) }
 
 // overdue records that a target has not responded within the usual time.
 func (h *Host) overdue(service string, a *attempt) {
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
@@ -172,7 +173,7 @@
 		Headers:  testHeaders, Clock: clock.Boot(), Log: zap.NewNop(),
 	}
 	h.metrics = newMetrics()
-	h.requestBuffers, h.responseBuffers = newBodyBudget(0), newBodyBudget(0)
+	h.requestBuffers, h.responseBuffers = buffer.NewBudget(0), buffer.NewBudget(0)
 	h.view = &fleetView{zone: "z", retry: h.Settings.Retry, random: func(int) int { return 0 }, log: h.Log}
 	h.view.run()
 	h.tokens = &tokens{clock: h.Clock, hosts: func() int { return 1 }, borrow: w.borrow, reachable: func() bool { return true }, random: func() float64 { return 0 }}
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawayrack/carawayrack/balance"
+	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/pipeline"
 	"github.com/carawayrack/carawayrack/readahead"
@@ -41,7 +42,7 @@
 type streamBudget struct {
 	// all is the budget of the host, limit the part of it in bytes that the connection
 	// may take. used is the number of bytes that its responses have taken.
-	all   *bodyBudget
+	all   *buffer.Budget
 	limit int64
 	used  *atomic.Int64
 }
@@ -51,35 +52,35 @@
 // targets, which other callers need.
 func (b *streamBudget) take(n int) bool {
 	own := b.used.Add(int64(n)) <= b.limit
-	if own && b.all.take(n) {
+	if own && b.all.Take(n) {
 		return true
 	}
 	b.used.Add(-int64(n))
-	if own && b.all.reclaim != nil {
-		b.all.reclaim()
+	if own && b.all.Reclaim != nil {
+		b.all.Reclaim()
 	}
 	return false
 }
 
 func (b *streamBudget) give(n int) {
 	b.used.Add(-int64(n))
-	b.all.give(n)
+	b.all.Give(n)
 }
 
 // newStream makes the attempt's response a stream that begins with b. What it holds is
 // given back when the context of the attempt ends.
-func (a *attempt) newStream(b buffered) {
+func (a *attempt) newStream(b buffer.Body) {
 	c := a.call
 	m := &streamBudget{all: c.host.responseBuffers, used: pipeline.ReadAhead(c.context)}
-	m.limit = min(maxReadAhead, int64(float64(m.all.limit)*maxAheadShare))
-	m.used.Add(int64(b.reserved))
+	m.limit = min(maxReadAhead, int64(float64(m.all.Limit)*maxAheadShare))
+	m.used.Add(int64(b.Reserved))
 	a.stream = &readahead.Buffer{
 		Now: c.host.Clock.Now, Deadline: c.deadline + responseMargin, Take: m.take, Give: m.give,
 	}
-	a.stream.Run(b.bytes, b.reserved, b.whole)
+	a.stream.Run(b.Bytes, b.Reserved, b.Whole)
 	a.length = a.response.ContentLength
-	if b.whole {
-		a.length = int64(len(b.bytes))
+	if b.Whole {
+		a.length = int64(len(b.Bytes))
 	}
 	context.AfterFunc(a.context, a.stream.Close)
 }
--- a/edge/stream_test.go
+++ b/edge/stream_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 )
@@ -154,20 +155,20 @@
 	DescribeTable("reaches the caller whole and with its seal",
 		func(send func(net.Conn), n int, budget int64) {
 			w := newDownloadHost(20_000, newBodySender(send).standin("t1"))
-			w.host.responseBuffers.limit = budget
+			w.host.responseBuffers.Limit = budget
 			r, err := w.call(http.MethodGet, "/open/", "")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(r.status).To(Equal(200))
 			Expect(r.header.Get("Seal")).To(Equal("x"))
 			Expect(bytes.Equal([]byte(r.body), body[:n])).To(BeTrue())
 			Eventually(w.attempts("served")).Should(Equal("1"))
-			Eventually(w.host.responseBuffers.used.Load).Should(BeZero())
+			Eventually(w.host.responseBuffers.Used).Should(BeZero())
 		},
-		Entry("with a length", withLength(body, 0), len(body), int64(defaultBuffers)),
-		Entry("in chunks", inChunks(body, "0\r\n\r\n"), len(body), int64(defaultBuffers)),
-		Entry("ended by the close of its connection", untilClose(body), len(body), int64(defaultBuffers)),
-		Entry("of just the size that is read first", withLength(body[:streamSize], 0), streamSize, int64(defaultBuffers)),
-		Entry("that is read whole but held in the budget", inChunks(body[:100_000], "0\r\n\r\n"), 100_000, int64(defaultBuffers)),
+		Entry("with a length", withLength(body, 0), len(body), int64(buffer.DefaultLimit)),
+		Entry("in chunks", inChunks(body, "0\r\n\r\n"), len(body), int64(buffer.DefaultLimit)),
+		Entry("ended by the close of its connection", untilClose(body), len(body), int64(buffer.DefaultLimit)),
+		Entry("of just the size that is read first", withLength(body[:streamSize], 0), streamSize, int64(buffer.DefaultLimit)),
+		Entry("that is read whole but held in the budget", inChunks(body[:100_000], "0\r\n\r\n"), 100_000, int64(buffer.DefaultLimit)),
 		Entry("without memory", withLength(body, 0), len(body), int64(0)),
 		Entry("in chunks without memory", inChunks(body, "0\r\n\r\n"), len(body), int64(0)),
 	)
@@ -182,7 +183,7 @@
 				_, err := w.call(http.MethodGet, "/open/", "")
 				Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 				Eventually(w.attempts("broken")).Should(Equal("1"))
-				Eventually(w.host.responseBuffers.used.Load).Should(BeZero())
+				Eventually(w.host.responseBuffers.Used).Should(BeZero())
 			}
 		},
 		Entry("with a length", withLength(body, 1)),
@@ -238,10 +239,10 @@
 
 	// Guards against an attempt that runs on after its caller has left.
 	It("ends at its target within 0.5 s when the caller leaves", func() {
-		for _, budget := range []int64{0, defaultBuffers} {
+		for _, budget := range []int64{0, buffer.DefaultLimit} {
 			s := newBodySender(withLength(noise(40<<20), 0))
 			w := newDownloadHost(20_000, s.standin("t1"))
-			w.host.responseBuffers.limit = budget
+			w.host.responseBuffers.Limit = budget
 			r := w.begin("/open/")
 			Consistently(s.ended, "200ms").ShouldNot(Receive())
 			Expect(r.Close()).To(Succeed())
@@ -278,7 +279,7 @@
 				}
 			}
 		}).standin("t1"))
-		w.host.responseBuffers.limit = 0
+		w.host.responseBuffers.Limit = 0
 		r := w.begin("/open/")
 		time.Sleep(1200 * time.Millisecond)
 		_, err := io.ReadAll(r.response.Body)
@@ -297,7 +298,7 @@
 			targets = append(targets, s.standin("t"+strconv.Itoa(i)))
 		}
 		w := newDownloadHost(20_000, targets...)
-		w.host.responseBuffers.limit = budget
+		w.host.responseBuffers.Limit = budget
 		before := liveHeap()
 		var all []*slowReader
 		for range callers {
@@ -306,11 +307,11 @@
 		held := func() int64 { return liveHeap() - before }
 		// Beside the budget each response has the part that is read first or its free
 		// chunks, and a chunk that is being written with its framing.
-		bound := int64(budget + callers*(freeBuffer+3*64<<10))
+		bound := int64(budget + callers*(buffer.DefaultFree+3*64<<10))
 		Eventually(held, "10s").Should(BeNumerically("<", bound))
 		Consistently(held, "1s", "200ms").Should(BeNumerically("<", bound))
-		GinkgoWriter.Printf("held: %d bytes, budget: %d\n", held(), w.host.responseBuffers.used.Load())
-		Expect(w.host.responseBuffers.used.Load()).To(BeNumerically("<=", budget))
+		GinkgoWriter.Printf("held: %d bytes, budget: %d\n", held(), w.host.responseBuffers.Used())
+		Expect(w.host.responseBuffers.Used()).To(BeNumerically("<=", budget))
 		var done sync.WaitGroup
 		for _, r := range all {
 			done.Add(1)
@@ -318,7 +319,7 @@
 			go x.run()
 		}
 		done.Wait()
-		Eventually(w.host.responseBuffers.used.Load).Should(BeZero())
+		Eventually(w.host.responseBuffers.Used).Should(BeZero())
 	})
 
 	// Guards against a target that breaks off responses and counts as cancelled, because the
@@ -327,7 +328,7 @@
 		w := newDownloadHost(2000)
 		c := &call{host: w.host, w: httptest.NewRecorder(), context: context.Background()}
 		a := &attempt{call: c, context: c.context, response: &http.Response{}, ended: make(chan struct{})}
-		a.newStream(buffered{bytes: []byte("begun")})
+		a.newStream(buffer.Body{Bytes: []byte("begun")})
 		Expect(a.stream.Fill(iotest.ErrReader(io.ErrUnexpectedEOF))).NotTo(Succeed())
 		p := &passing{c, a, make(chan error, 1)}
 		go p.run()
