Move the detector of crashes to package poison

poison.Detector stands beside the register that it uses and takes fingerprints instead of requests; poison.Message is what hosts send each other, with the same 13 bytes. What needs a request or the network stays in edge/quarantine.go: the refusal, the fingerprint of a call, and the connection to a target that may have crashed, which the detector gets as Dial.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -298,12 +298,12 @@
 	case balance.Served:
 		c.host.view.recordLatency(c.route.Name, r.Took)
 		c.host.latencies.Record(now, c.route.Name, r.Took)
-		c.host.poison.clearRequest(c)
+		c.clearSuspicion()
 	case balance.Failed:
 		c.host.latencies.Record(now, c.route.Name, r.Took)
-		c.host.poison.clearRequest(c)
+		c.clearSuspicion()
 	case balance.Broken:
-		c.host.poison.checkCrash(c.fingerprint(), a.choice.ID, a.choice.Addr)
+		c.host.poison.CheckCrash(c.fingerprint(), a.choice.ID, a.choice.Addr)
 	}
 	a.recordSuperseded(now, o)
 	c.host.view.endAttempt(now, a.counted, a.rolloutOutcome(o))
--- a/edge/call.go
+++ b/edge/call.go
@@ -111,7 +111,7 @@
 	if x := c.readBody(f.Limits.BodyBytes); x != nil {
 		return x
 	}
-	if x := c.host.poison.check(c); x != nil {
+	if x := c.checkQuarantine(); x != nil {
 		return x
 	}
 	return c.takeToken()
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -11,6 +11,7 @@
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/poison"
 )
 
 // The kinds of datagrams.
@@ -60,7 +61,7 @@
 	log      *zap.Logger
 	view     *fleetView
 	metrics  *metrics
-	poison   *poisonDetector
+	poison   *poison.Detector
 	// peerTokens handles requests of other hosts for tokens.
 	peerTokens *peerTokens
 
@@ -281,7 +282,7 @@
 	}
 	switch kind {
 	case kindCrash:
-		g.poison.receive(b[k:])
+		g.poison.Receive(b[k:])
 		return
 	case kindBorrow:
 		g.peerTokens.receiveRequest(string(b[:k]), b[k:])
--- a/edge/host.go
+++ b/edge/host.go
@@ -20,6 +20,7 @@
 	"github.com/carawayrack/carawayrack/forward"
 	"github.com/carawayrack/carawayrack/latency"
 	"github.com/carawayrack/carawayrack/pipeline"
+	"github.com/carawayrack/carawayrack/poison"
 	"github.com/carawayrack/carawayrack/wire"
 )
 
@@ -39,7 +40,7 @@
 	control *controlClient
 	gossip  *gossip
 	// poison detects requests that crash their targets.
-	poison      *poisonDetector
+	poison      *poison.Detector
 	hedger      hedger
 	targetConns *forward.Pool
 	// requestBuffers and responseBuffers bound the memory for bodies.
@@ -102,8 +103,8 @@
 	}
 	h.targetConns.Run()
 	h.gossip = &gossip{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, metrics: h.metrics}
-	h.poison = &poisonDetector{clock: h.Clock, log: h.Log, broadcast: h.gossip.broadcastSuspicion}
-	h.poison.run()
+	h.poison = &poison.Detector{Clock: h.Clock, Log: h.Log, Broadcast: h.gossip.broadcastSuspicion, Dial: dialTarget}
+	h.poison.Run()
 	h.gossip.poison = h.poison
 	h.gossip.peerTokens = &peerTokens{view: h.view, take: h.tokens.takeForPeer, send: h.gossip.sendTo}
 	h.gossip.peerTokens.run()
