Move the tokens of client accounts to package token

token.Borrower takes tokens of control processes, zone lenders or the host's own part of a rate; token.Peers exchanges single tokens with other hosts of a zone. Both get the view of the fleet and the datagrams through fields, which are now all set before Run. Package edge keeps the look-ups in its view and the kinds of datagrams (peer_tokens.go), and the time limit of a call to borrow. Borrower.State replaces the access of the explanation of a route to the accounts. What goes over the wire is unchanged.

The specs move with the code; those that used a test host for its account name the account themselves. What the specs of the peers checked of kinds of datagrams, and of unknown hosts and accounts, is checked in edge/peer_tokens_test.go now.

--- a/edge/call.go
+++ b/edge/call.go
@@ -166,7 +166,7 @@
 	if c.account == nil {
 		return nil
 	}
-	ok, wait := c.host.tokens.take(c.account)
+	ok, wait := c.host.tokens.Take(c.account)
 	if ok {
 		return nil
 	}
--- a/edge/control_client.go
+++ b/edge/control_client.go
@@ -10,6 +10,7 @@
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/token"
 	"github.com/carawayrack/carawayrack/wire"
 )
 
@@ -20,6 +21,7 @@
 	idleInterval    = 300 * clock.Millis(1)
 	busyFor         = 2 * clock.Second
 	exchangeTimeout = 600 * clock.Millis(1)
+	borrowTimeout   = 350 * clock.Millis(1)
 	// staleProof is the age of the leadership proof of a control process from
 	// which the host switches to another one.
 	staleProof = 1200 * clock.Millis(1)
@@ -34,7 +36,7 @@
 	clock     clock.Clock
 	log       *zap.Logger
 	view      *fleetView
-	tokens    *tokens
+	tokens    *token.Borrower
 	pool      *wire.Pool
 	translate func([]byte) (*catalog.Config, error)
 	// leaving reports whether the host is about to stop.
@@ -217,7 +219,7 @@
 		return false
 	}
 	sent := l.clock.Now()
-	wants, returns := l.tokens.wants(sent)
+	wants, returns := l.tokens.Wants(sent)
 	a := coordinator.ExchangeArgs{
 		Host: coordinator.Host{
 			ID: l.settings.ID, Zone: l.settings.Zone, Callers: l.settings.Callers, Peer: l.settings.Peer,
@@ -232,7 +234,7 @@
 		return false
 	}
 	l.noteReply()
-	l.tokens.add(p.Grants)
+	l.tokens.Add(p.Grants)
 	if !p.Known || !l.apply(p.Update) {
 		return false
 	}
--- a/edge/explain_route.go
+++ b/edge/explain_route.go
@@ -9,6 +9,7 @@
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/token"
 )
 
 // ExplainKeyHeader is the header with the key of the caller in a request for an
@@ -202,24 +203,11 @@
 
 // explainAccount returns the account's line, and the refusal if it has no token.
 func (c *call) explainAccount(now clock.Millis) (*AccountLine, *refusal) {
-	t, a := c.host.tokens, c.account
-	l := &AccountLine{Name: a.Name, Rate: a.Rate, Burst: a.Burst, LenderAge: -1}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.lenderAt > 0 {
-		l.LenderAge = now - t.lenderAt
-	}
-	if a.Rate <= 0 {
-		return l, nil
-	}
-	p := t.accounts[a.Name]
-	if p == nil {
-		p = &accountTokens{}
-	}
-	s, wait := t.nextSource(now, p)
-	l.Held, l.Source = p.Tokens(), string(s)
-	if s == sourceEmpty {
-		return l, c.overQuota(wait)
+	a := c.account
+	s := c.host.tokens.State(now, a)
+	l := &AccountLine{Name: a.Name, Rate: a.Rate, Burst: a.Burst, Held: s.Held, Source: string(s.Source), LenderAge: s.LenderAge}
+	if s.Source == token.SourceEmpty {
+		return l, c.overQuota(s.Wait)
 	}
 	return l, nil
 }
--- a/edge/explain_route_test.go
+++ b/edge/explain_route_test.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"reflect"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/coordinator"
 )
 
 // explain requests an explanation for a path as the command does.
@@ -33,8 +35,10 @@
 // usage returns what requests use up: slots, tokens, retries, hedges and places in the
 // queue, and the number of kept objects.
 func (w *testHost) usage() string {
-	v, t := w.host.view, w.host.tokens
-	s := fmt.Sprint(len(v.pools), len(v.queues), len(v.retryBudgets), len(t.accounts), w.tokensLeft, len(w.host.hedger.budgets))
+	v := w.host.view
+	// Only package token needs the accounts; reflection shows them as they are kept.
+	accounts := reflect.ValueOf(w.host.tokens).Elem().FieldByName("accounts")
+	s := fmt.Sprint(len(v.pools), len(v.queues), len(v.retryBudgets), accounts.Len(), w.tokensLeft, len(w.host.hedger.budgets))
 	for n, p := range v.pools {
 		for _, c := range p.Explain(0, balance.Request{}) {
 			s += fmt.Sprint(n, c.ID, c.InFlight, c.SuccessesNeeded, c.PauseLeft, c.ObservedAge)
@@ -43,8 +47,8 @@
 	for n, b := range v.retryBudgets {
 		s += fmt.Sprint(n, b.Left())
 	}
-	for n, a := range t.accounts {
-		s += fmt.Sprintf("%s%+v", n, *a)
+	for _, n := range accounts.MapKeys() {
+		s += fmt.Sprintf("%s%+v", n, accounts.MapIndex(n).Elem())
 	}
 	for n, q := range v.queues {
 		s += fmt.Sprint(n, q.Len())
@@ -111,8 +115,11 @@
 		Entry("unknown key", "/safe/x", "k9", func(*testHost) {}, UnknownKey),
 		Entry("no current configuration", "/safe/x", "k1", func(w *testHost) { w.host.Settings.MaxConfigAge = -1 }, ConfigNotCurrent),
 		Entry("an account without tokens", "/safe/x", "k1", func(w *testHost) {
-			now := w.host.Clock.Now()
-			w.host.tokens.account(now, w.host.view.config.Account("acc")).SetLenderEmpty(now, 5000)
+			w.host.tokens.Borrow = func(coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
+				return coordinator.BorrowReply{Known: true, Wait: 5000}, nil
+			}
+			got, _ := w.host.tokens.Take(w.host.view.config.Account("acc"))
+			Expect(got).To(BeFalse())
 		}, OverQuota),
 		Entry("targets that want a pause", "/safe/x", "k1", func(w *testHost) {
 			w.host.view.heed(w.host.Clock.Now(), "s", "t", 1, balance.Notice{Pause: 60_000})
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
 	"github.com/carawayrack/carawayrack/poison"
+	"github.com/carawayrack/carawayrack/token"
 )
 
 // The kinds of datagrams.
@@ -63,7 +64,7 @@
 	metrics  *metrics
 	poison   *poison.Detector
 	// peerTokens handles requests of other hosts for tokens.
-	peerTokens *peerTokens
+	peerTokens *token.Peers
 
 	conn *net.UDPConn
 	// tag is the start of the SHA-256 sum of the secret; datagrams without it
@@ -285,10 +286,10 @@
 		g.poison.Receive(b[k:])
 		return
 	case kindBorrow:
-		g.peerTokens.receiveRequest(string(b[:k]), b[k:])
+		g.peerTokens.ReceiveRequest(string(b[:k]), b[k:])
 		return
 	case kindLent:
-		g.peerTokens.receiveLoan(b[k:])
+		g.peerTokens.ReceiveLoan(b[k:])
 		return
 	}
 	host, l := string(b[:k]), balance.DecodeObservations(b[k:])
--- a/edge/host.go
+++ b/edge/host.go
@@ -21,6 +21,7 @@
 	"github.com/carawayrack/carawayrack/latency"
 	"github.com/carawayrack/carawayrack/pipeline"
 	"github.com/carawayrack/carawayrack/poison"
+	"github.com/carawayrack/carawayrack/token"
 	"github.com/carawayrack/carawayrack/wire"
 )
 
@@ -36,7 +37,7 @@
 	ReadyPath string
 
 	view    *fleetView
-	tokens  *tokens
+	tokens  *token.Borrower
 	control *controlClient
 	gossip  *gossip
 	// poison detects requests that crash their targets.
@@ -90,13 +91,12 @@
 	h.view = &fleetView{zone: h.Settings.Zone, self: h.Settings.ID, retry: h.Settings.Retry, random: rand.IntN, log: h.Log}
 	h.view.run()
 	peers := &wire.Pool{Secret: h.Settings.Secret}
-	h.tokens = &tokens{clock: h.Clock, hosts: h.view.activeCount, random: rand.Float64}
-	h.tokens.run()
+	h.tokens = &token.Borrower{Clock: h.Clock, Hosts: h.view.activeCount, Random: rand.Float64, Self: h.Settings.ID, ZoneLender: h.view.zoneLender}
 	h.control = &controlClient{
 		settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, tokens: h.tokens, pool: peers,
 		translate: h.Translate, leaving: h.leaving.Load,
 	}
-	h.tokens.borrow, h.tokens.reachable = h.control.borrow, h.control.reachable
+	h.tokens.Borrow, h.tokens.Reachable = h.control.borrow, h.control.reachable
 	h.targetConns = &forward.Pool{
 		Clock: h.Clock, DialTimeout: dialTimeout, UnackedTimeout: unackedTimeout,
 		IdleTimeout: idleTimeout, FreshIdle: freshIdle, MaxIdle: h.Settings.Limits.IdleTargets,
@@ -106,9 +106,13 @@
 	h.poison = &poison.Detector{Clock: h.Clock, Log: h.Log, Broadcast: h.gossip.broadcastSuspicion, Dial: dialTarget}
 	h.poison.Run()
 	h.gossip.poison = h.poison
-	h.gossip.peerTokens = &peerTokens{view: h.view, take: h.tokens.takeForPeer, send: h.gossip.sendTo}
-	h.gossip.peerTokens.run()
-	h.tokens.self, h.tokens.zoneLender, h.tokens.request = h.Settings.ID, h.view.zoneLender, h.gossip.peerTokens.request
+	h.gossip.peerTokens = &token.Peers{
+		Find: h.view.hostAndAccount, Take: h.tokens.TakeForPeer,
+		SendRequest: h.gossip.sendTokenRequest, SendLoan: h.gossip.sendTokenLoan,
+	}
+	h.gossip.peerTokens.Run()
+	h.tokens.Request = h.gossip.peerTokens.Request
+	h.tokens.Run()
 	if err := h.gossip.run(); err != nil {
 		return errors.Wrap(err, "edge.Run")
 	}
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"math/rand"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,7 +14,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/carawayrack/carawayrack/balance"
-	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
 )
@@ -343,91 +341,6 @@
 	})
 })
 
-var _ = Describe("tokens without a lender", func() {
-	It("are taken without a request to an unreachable control process", func() {
-		w := newTestHost()
-		c, _ := w.host.view.current(w.host.Clock.Now())
-		w.host.tokens.reachable = func() bool { return false }
-		w.host.tokens.borrow = func(coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
-			Fail("tried to borrow from an unreachable control process")
-			return coordinator.BorrowReply{}, nil
-		}
-		ok, _ := w.host.tokens.take(c.Account("acc"))
-		Expect(ok).To(BeTrue())
-	})
-
-	It("are no more than the host's part of the rate", func() {
-		w := newTestHost()
-		c, _ := w.host.view.current(w.host.Clock.Now())
-		a := c.Account("acc")
-		now := w.host.Clock.Now()
-		t := &tokens{hosts: func() int { return 10 }, reachable: func() bool { return true }, random: func() float64 { return 0.5 }}
-		t.clock.Read = func() clock.Millis { return now }
-		t.borrow = func(coordinator.BorrowArgs) (coordinator.BorrowReply, error) { return coordinator.BorrowReply{}, nil }
-		t.run()
-		n := 0
-		for end := now + 10_000; now < end; now += 5 {
-			if ok, _ := t.take(a); ok {
-				n++
-			}
-		}
-		Expect(float64(n)).To(BeNumerically("<=", a.Rate/10*10+a.Rate/10+1))
-		Expect(float64(n)).To(BeNumerically(">=", a.Rate/10*10*fallbackShare*0.9))
-	})
-
-	// The leader freezes, another one is elected and freezes too: hosts lose their
-	// lender again and again, for less than a second each time.
-	It("do not add up while the lender is lost again and again", func() {
-		const hosts, rate, window = 12, 46, 5
-		a := &catalog.Account{Name: "acc", Rate: rate, Burst: rate}
-		r := rand.New(rand.NewSource(1))
-		n := 0
-		for range hosts {
-			now, away := clock.Millis(100_000), false
-			t := &tokens{hosts: func() int { return hosts }, reachable: func() bool { return !away }, random: r.Float64}
-			t.clock.Read = func() clock.Millis { return now }
-			t.borrow = func(coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
-				return coordinator.BorrowReply{Known: true, Wait: 1}, nil
-			}
-			t.run()
-			for end := now + window*clock.Second; now < end; now += 20 {
-				// Away for 200 ms in each 1,250 ms.
-				away = (end-now)%1250 < 200
-				if ok, _ := t.take(a); ok {
-					n++
-				}
-			}
-		}
-		awayS := float64(window) * 200 / 1250
-		Expect(float64(n)).To(BeNumerically("<=", rate*awayS*fallbackShare+hosts+rate*fallbackBurst))
-	})
-
-	// In a large deployment without a control plane, one account sends many times
-	// its rate to all hosts: their fallback buckets together must not exceed the
-	// quota.
-	It("are within the quota of the whole fleet even with many hosts", func() {
-		const hosts, rate, burst, window = 119, 23, 23, 5
-		a := &catalog.Account{Name: "acc", Rate: rate, Burst: burst}
-		r := rand.New(rand.NewSource(1))
-		n := 0
-		for h := 0; h < hosts; h++ {
-			now := clock.Millis(100_000)
-			t := &tokens{hosts: func() int { return hosts }, reachable: func() bool { return false }, random: r.Float64}
-			t.clock.Read = func() clock.Millis { return now }
-			t.run()
-			for end := now + window*clock.Second/2; now < end; now += 50 {
-				if ok, _ := t.take(a); ok {
-					n++
-				}
-			}
-		}
-		// The leader lent tokens in the first half of the window; the bound is
-		// what the quota allows in a whole window.
-		Expect(float64(n) + rate*window/2 + burst).To(BeNumerically("<=", (rate*window+burst)*1.1+20))
-		Expect(float64(n)).To(BeNumerically(">=", rate*window/2*fallbackShare*0.9))
-	})
-})
-
 var _ = Describe("a health check", func() {
 	health := "HTTP/1.1 200 OK\r\nTarget-Id: t1\r\nContent-Length: 2\r\n\r\nok"
 	check := func(t *standin) error {
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -22,6 +22,7 @@
 	"github.com/carawayrack/carawayrack/coordinator"
 	"github.com/carawayrack/carawayrack/forward"
 	"github.com/carawayrack/carawayrack/poison"
+	"github.com/carawayrack/carawayrack/token"
 )
 
 // testHeaders are the header names that the tests use.
@@ -177,8 +178,8 @@
 	h.requestBuffers, h.responseBuffers = buffer.NewBudget(0), buffer.NewBudget(0)
 	h.view = &fleetView{zone: "z", retry: h.Settings.Retry, random: func(int) int { return 0 }, log: h.Log}
 	h.view.run()
-	h.tokens = &tokens{clock: h.Clock, hosts: func() int { return 1 }, borrow: w.borrow, reachable: func() bool { return true }, random: func() float64 { return 0 }}
-	h.tokens.run()
+	h.tokens = &token.Borrower{Clock: h.Clock, Hosts: func() int { return 1 }, Borrow: w.borrow, Reachable: func() bool { return true }, Random: func() float64 { return 0 }}
+	h.tokens.Run()
 	h.control = &controlClient{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, triggers: make(chan struct{}, 1)}
 	h.gossip = &gossip{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, dirty: make(chan struct{}, 1)}
 	h.poison = &poison.Detector{Clock: h.Clock, Log: h.Log, Broadcast: w.broadcast, Dial: w.dial}
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -84,10 +84,10 @@
 			Translate: func([]byte) (*catalog.Config, error) { return &catalog.Config{}, nil },
 		}
 		Expect(h.Run()).To(Succeed())
-		h.tokens.borrow = func(a coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
+		h.tokens.Borrow = func(a coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
 			return coordinator.BorrowReply{Tokens: a.Tokens, Known: true}, nil
 		}
-		h.tokens.reachable = func() bool { return true }
+		h.tokens.Reachable = func() bool { return true }
 		t := newStandin("t1", ok)
 		t.delay = 300 * time.Millisecond
 		w := &testHost{host: h}
