Move the match of requests with routes to package routing

routing.Match, routing.OutgoingURL and routing.PathKept need only the configuration and the request, not the host that serves it. hostName moves along from call.go, since nothing else uses it.

--- a/edge/call.go
+++ b/edge/call.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -16,6 +15,7 @@
 	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/routing"
 )
 
 const (
@@ -127,10 +127,10 @@
 // configuration has no route for the request or does not have its key.
 func (c *call) findRoute(f *catalog.Config) *refusal {
 	version := "version " + strconv.FormatUint(f.Version, 10)
-	if !pathKept(c.r) {
+	if !routing.PathKept(c.r) {
 		return &refusal{BadRequest, http.StatusBadRequest, 0, "the path cannot be forwarded unchanged"}
 	}
-	if c.route = matchRoute(f, c.r); c.route == nil {
+	if c.route = routing.Match(f, c.r); c.route == nil {
 		return &refusal{NoRoute, http.StatusNotFound, 0, version}
 	}
 	c.account = f.AccountByKey(c.r.Header.Get(c.host.Headers.Key))
@@ -140,15 +140,6 @@
 	return nil
 }
 
-// hostName returns the host of a request without the port.
-func hostName(r *http.Request) string {
-	name, _, err := net.SplitHostPort(r.Host)
-	if err != nil {
-		return r.Host
-	}
-	return name
-}
-
 // setDeadline sets the time at which the request times out.
 func (c *call) setDeadline() {
 	d := defaultDeadline
@@ -255,7 +246,7 @@
 		h["User-Agent"] = []string{""}
 	}
 	o := &http.Request{
-		Method: c.r.Method, URL: outgoingURL(c.r), Host: c.r.Host, Header: h,
+		Method: c.r.Method, URL: routing.OutgoingURL(c.r), Host: c.r.Host, Header: h,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(c.body) > 0 {
--- a/edge/host.go
+++ b/edge/host.go
@@ -21,6 +21,7 @@
 	"github.com/carawayrack/carawayrack/latency"
 	"github.com/carawayrack/carawayrack/pipeline"
 	"github.com/carawayrack/carawayrack/poison"
+	"github.com/carawayrack/carawayrack/routing"
 	"github.com/carawayrack/carawayrack/token"
 	"github.com/carawayrack/carawayrack/wire"
 )
@@ -200,7 +201,7 @@
 	if c == nil {
 		return true
 	}
-	t := matchRoute(c, r)
+	t := routing.Match(c, r)
 	return t == nil || t.Kind.Repeatable()
 }
 
--- a/edge/route_match.go
+++ b/routing/match.go
@@ -1,6 +1,9 @@
-package edge
+// Package routing finds the route of a request in a configuration, with respect to both
+// readings of an encoded slash, and the URL with which the request is forwarded.
+package routing
 
 import (
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -8,12 +11,12 @@
 	"github.com/carawayrack/carawayrack/catalog"
 )
 
-// matchRoute returns the route of a request, nil if there is none. An encoded slash is
+// Match returns the route of a request, nil if there is none. An encoded slash is
 // a part of a name in one reading of a path, and a separator in the other. Targets may
 // take either, so a request that the readings give different routes gets the stricter
 // properties of both; if these lead to different services, or one reading has no route,
 // it has none.
-func matchRoute(f *catalog.Config, r *http.Request) *catalog.Route {
+func Match(f *catalog.Config, r *http.Request) *catalog.Route {
 	a := f.Match(hostName(r), r.URL.Path)
 	raw := r.URL.EscapedPath()
 	if !strings.Contains(strings.ToLower(raw), "%2f") {
@@ -33,6 +36,15 @@
 	return stricter(b, a)
 }
 
+// hostName returns the host of a request without the port.
+func hostName(r *http.Request) string {
+	name, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		return r.Host
+	}
+	return name
+}
+
 // sameServices reports whether two routes lead to the same services.
 func sameServices(a, b *catalog.Route) bool {
 	s := map[string]bool{}
@@ -61,9 +73,9 @@
 	return &r
 }
 
-// outgoingURL returns the URL with which a request is forwarded, with the path and the
+// OutgoingURL returns the URL with which a request is forwarded, with the path and the
 // query as they were sent.
-func outgoingURL(r *http.Request) *url.URL {
+func OutgoingURL(r *http.Request) *url.URL {
 	if !strings.HasPrefix(r.RequestURI, "//") {
 		return &url.URL{Opaque: r.RequestURI}
 	}
@@ -71,5 +83,5 @@
 	return &url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
 }
 
-// pathKept reports whether outgoingURL keeps the request's path.
-func pathKept(r *http.Request) bool { return outgoingURL(r).RequestURI() == r.RequestURI }
+// PathKept reports whether OutgoingURL keeps the request's path.
+func PathKept(r *http.Request) bool { return OutgoingURL(r).RequestURI() == r.RequestURI }
--- a/edge/route_match_test.go
+++ b/routing/match_test.go
@@ -1,8 +1,9 @@
-package edge
+package routing
 
 import (
 	"net/http"
 	"net/url"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -10,6 +11,11 @@
 	"github.com/carawayrack/carawayrack/catalog"
 )
 
+func TestRouting(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "routing")
+}
+
 func pathConfig() *catalog.Config {
 	one := []catalog.Part{{Service: "s", Weight: 1}}
 	c := &catalog.Config{Routes: []catalog.Route{
@@ -31,7 +37,7 @@
 var _ = Describe("the route of a request", func() {
 	DescribeTable("is that of its path",
 		func(uri, name string) {
-			r := matchRoute(pathConfig(), requestFor("h.example", uri))
+			r := Match(pathConfig(), requestFor("h.example", uri))
 			if name == "" {
 				Expect(r).To(BeNil())
 				return
@@ -50,7 +56,7 @@
 	// Guards against an unsafe request that is sent again by the kind of the route that
 	// its decoded path has.
 	It("has the stricter properties of both readings of its path", func() {
-		r := matchRoute(pathConfig(), requestFor("h.example", "/file/list%2F50"))
+		r := Match(pathConfig(), requestFor("h.example", "/file/list%2F50"))
 		Expect(r.Name).To(Equal("file"))
 		Expect(r.Kind).To(Equal(catalog.Unsafe))
 		Expect(r.Attempts).To(Equal(1))
@@ -69,7 +75,7 @@
 	})
 
 	It("does not depend on the case of the host name", func() {
-		Expect(matchRoute(pathConfig(), requestFor("h.EXAMPLE:80", "/file/1")).Name).To(Equal("file"))
+		Expect(Match(pathConfig(), requestFor("h.EXAMPLE:80", "/file/1")).Name).To(Equal("file"))
 	})
 })
 
@@ -77,8 +83,8 @@
 	DescribeTable("is that of the caller",
 		func(uri string) {
 			r := requestFor("h", uri)
-			Expect(pathKept(r)).To(BeTrue())
-			Expect(outgoingURL(r).RequestURI()).To(Equal(uri))
+			Expect(PathKept(r)).To(BeTrue())
+			Expect(OutgoingURL(r).RequestURI()).To(Equal(uri))
 		},
 		Entry("plain", "/a/b?x=1&y=%20"),
 		Entry("encoded", "/a%2Fb/%41"),
@@ -88,6 +94,6 @@
 	)
 
 	It("is refused if it cannot be kept", func() {
-		Expect(pathKept(requestFor("h", `//a"b`))).To(BeFalse())
+		Expect(PathKept(requestFor("h", `//a"b`))).To(BeFalse())
 	})
 })
