Move the client of control processes to package controlplane

controlplane.Client does not serve requests: it exchanges state and tokens with a control process in the background. It reaches the view of the fleet through fields and holds the host's description instead of all its settings. Gossip used the interval of the client after a failed read and gets a constant of its own, with the same value.

--- a/edge/control_client.go
+++ b/controlplane/client.go
@@ -1,4 +1,5 @@
-package edge
+// Package controlplane connects a host with the control processes of its fleet.
+package controlplane
 
 import (
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/rollout"
 	"github.com/carawayrack/carawayrack/token"
 	"github.com/carawayrack/carawayrack/wire"
 )
@@ -30,17 +32,31 @@
 	returnToLocalAfter = 3 * clock.Second
 )
 
-// controlClient exchanges state and tokens with a control process.
-type controlClient struct {
-	settings  Settings
-	clock     clock.Clock
-	log       *zap.Logger
-	view      *fleetView
-	tokens    *token.Borrower
-	pool      *wire.Pool
-	translate func([]byte) (*catalog.Config, error)
-	// leaving reports whether the host is about to stop.
-	leaving func() bool
+// Client exchanges state and tokens with a control process. The fields must be set before
+// Run; the client may then be used from several goroutines.
+type Client struct {
+	// Host is what the host tells of itself. Leaving is set for each exchange.
+	Host   coordinator.Host
+	Clock  clock.Clock
+	Log    *zap.Logger
+	Tokens *token.Borrower
+	Pool   *wire.Pool
+	// Translate parses a configuration document.
+	Translate func([]byte) (*catalog.Config, error)
+	// Leaving reports whether the host is about to stop.
+	Leaving func() bool
+	// Addresses returns the addresses of control processes that may exist, Cores the
+	// control processes of the list set last.
+	Addresses func() []string
+	Cores     func() []coordinator.Core
+	// Reports returns the counts of the running roll-outs.
+	Reports func(now clock.Millis) []rollout.ServiceReport
+	// SetState, SetFleet and ConfirmCurrent get what control processes reply: the state
+	// of the catalog, the list of the fleet, and the time at which the state was proven to
+	// be current.
+	SetState       func(now clock.Millis, s *catalog.State)
+	SetFleet       func(*coordinator.Fleet)
+	ConfirmCurrent func(at clock.Millis)
 
 	// instance tells the runs of this host apart.
 	instance uint64
@@ -57,33 +73,34 @@
 	requestAt clock.Millis
 }
 
-func (l *controlClient) run() {
-	l.state = catalog.New(l.translate)
+// Run starts the exchanges.
+func (l *Client) Run() {
+	l.state = catalog.New(l.Translate)
 	l.instance = rand.Uint64()
 	l.fleet = &coordinator.Fleet{}
 	l.triggers = make(chan struct{}, 1)
 	go l.loop()
 }
 
-// trigger starts an exchange without waiting for the end of the interval.
-func (l *controlClient) trigger() {
+// Trigger starts an exchange without waiting for the end of the interval.
+func (l *Client) Trigger() {
 	select {
 	case l.triggers <- struct{}{}:
 	default:
 	}
 }
 
-// noteRequest records the arrival of a request. Exchanges are more frequent
+// NoteRequest records the arrival of a request. Exchanges are more frequent
 // for a while after it.
-func (l *controlClient) noteRequest(now clock.Millis) {
+func (l *Client) NoteRequest(now clock.Millis) {
 	l.mu.Lock()
 	l.requestAt = now
 	l.mu.Unlock()
 }
 
-func (l *controlClient) noteReply() {
+func (l *Client) noteReply() {
 	l.mu.Lock()
-	l.repliedAt = l.clock.Now()
+	l.repliedAt = l.Clock.Now()
 	l.mu.Unlock()
 }
 
@@ -91,23 +108,23 @@
 // which requests do not wait for one.
 const unreachableAfter = idleInterval + busyInterval
 
-// reachable reports whether a control process has replied recently.
-func (l *controlClient) reachable() bool {
+// Reachable reports whether a control process has replied recently.
+func (l *Client) Reachable() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.clock.Now()-l.repliedAt < unreachableAfter
+	return l.Clock.Now()-l.repliedAt < unreachableAfter
 }
 
-func (l *controlClient) interval() clock.Millis {
+func (l *Client) interval() clock.Millis {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.clock.Now()-l.requestAt < busyFor {
+	if l.Clock.Now()-l.requestAt < busyFor {
 		return busyInterval
 	}
 	return idleInterval
 }
 
-func (l *controlClient) loop() {
+func (l *Client) loop() {
 	fails := 0
 	for {
 		if l.exchange() {
@@ -131,10 +148,10 @@
 
 // address returns the address of the control process to use, empty if none is
 // known.
-func (l *controlClient) address() string {
+func (l *Client) address() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.clock.Now()
+	now := l.Clock.Now()
 	if l.core != "" && now-l.chosenAt < returnToLocalAfter {
 		return l.core
 	}
@@ -152,9 +169,9 @@
 
 // disconnect closes the connection to a control process that is no longer
 // used. Pings would keep it open otherwise.
-func (l *controlClient) disconnect(addr string) {
+func (l *Client) disconnect(addr string) {
 	if addr != "" {
-		l.pool.Get(addr).Close()
+		l.Pool.Get(addr).Close()
 	}
 }
 
@@ -165,19 +182,19 @@
 	return l[rand.IntN(len(l))]
 }
 
-func (l *controlClient) pickLocal() string {
+func (l *Client) pickLocal() string {
 	var h []string
-	for _, c := range l.view.cores() {
-		if c.Zone == l.settings.Zone {
+	for _, c := range l.Cores() {
+		if c.Zone == l.Host.Zone {
 			h = append(h, c.Addr)
 		}
 	}
 	return pickRandom(h)
 }
 
-func (l *controlClient) isLocal(addr string) bool {
-	for _, c := range l.view.cores() {
-		if c.Addr == addr && c.Zone == l.settings.Zone {
+func (l *Client) isLocal(addr string) bool {
+	for _, c := range l.Cores() {
+		if c.Addr == addr && c.Zone == l.Host.Zone {
 			return true
 		}
 	}
@@ -185,16 +202,16 @@
 }
 
 // candidates returns the addresses of all control processes that may exist.
-func (l *controlClient) candidates() []string {
-	a := l.settings.Cores()
-	for _, c := range l.view.cores() {
+func (l *Client) candidates() []string {
+	a := l.Addresses()
+	for _, c := range l.Cores() {
 		a = append(a, c.Addr)
 	}
 	return a
 }
 
 // switchCore switches to another control process, if one is known.
-func (l *controlClient) switchCore() {
+func (l *Client) switchCore() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old := l.core
@@ -206,46 +223,50 @@
 	}
 	if n := pickRandom(others); n != "" {
 		l.disconnect(old)
-		l.core, l.chosenAt = n, l.clock.Now()
-		l.log.Debug("control process changed", zap.String("from", old), zap.String("to", n))
+		l.core, l.chosenAt = n, l.Clock.Now()
+		l.Log.Debug("control process changed", zap.String("from", old), zap.String("to", n))
 	}
 }
 
+// host returns what the host tells of itself now.
+func (l *Client) host() coordinator.Host {
+	h := l.Host
+	h.Leaving = l.Leaving()
+	return h
+}
+
 // exchange sends the host's state to a control process and applies the reply.
 // It reports whether the control process replied and is current.
-func (l *controlClient) exchange() bool {
+func (l *Client) exchange() bool {
 	addr := l.address()
 	if addr == "" {
 		return false
 	}
-	sent := l.clock.Now()
-	wants, returns := l.tokens.Wants(sent)
+	sent := l.Clock.Now()
+	wants, returns := l.Tokens.Wants(sent)
 	a := coordinator.ExchangeArgs{
-		Host: coordinator.Host{
-			ID: l.settings.ID, Zone: l.settings.Zone, Callers: l.settings.Callers, Peer: l.settings.Peer,
-			Leaving: l.leaving(), Narrow: l.settings.Narrow,
-		},
+		Host:     l.host(),
 		Sequence: l.state.Sequence, Hosts: l.fleet.Digest, Deltas: true, Wants: wants, Returns: returns,
-		Rollouts: l.view.rolloutReports(sent), Instance: l.instance,
+		Rollouts: l.Reports(sent), Instance: l.instance,
 	}
 	var p coordinator.ExchangeReply
-	if err := l.pool.Get(addr).Call("Peer.Exchange", a, &p, exchangeTimeout); err != nil {
-		l.log.Debug("exchange failed", zap.String("core", addr), zap.Error(err))
+	if err := l.Pool.Get(addr).Call("Peer.Exchange", a, &p, exchangeTimeout); err != nil {
+		l.Log.Debug("exchange failed", zap.String("core", addr), zap.Error(err))
 		return false
 	}
 	l.noteReply()
-	l.tokens.Add(p.Grants)
+	l.Tokens.Add(p.Grants)
 	if !p.Known || !l.apply(p.Update) {
 		return false
 	}
 	l.adoptFleet(p.Fleet, p.FleetChange)
-	l.view.confirmCurrent(sent - p.Age)
+	l.ConfirmCurrent(sent - p.Age)
 	return p.Age < staleProof
 }
 
 // adoptFleet takes over a list of the fleet or a change of it. A change that does
 // not follow the list makes the control process send the whole list.
-func (l *controlClient) adoptFleet(f *coordinator.Fleet, c *coordinator.FleetChange) {
+func (l *Client) adoptFleet(f *coordinator.Fleet, c *coordinator.FleetChange) {
 	if c != nil {
 		var ok bool
 		if f, ok = l.fleet.Apply(c); !ok {
@@ -255,20 +276,20 @@
 	}
 	if f != nil {
 		l.fleet = f
-		l.view.setFleet(f)
+		l.SetFleet(f)
 	}
 }
 
 // apply applies an update to the state. It reports whether the state has
 // reached the sequence of the update.
-func (l *controlClient) apply(u coordinator.Update) bool {
+func (l *Client) apply(u coordinator.Update) bool {
 	if u.Sequence == l.state.Sequence {
 		return true
 	}
 	if u.State != nil {
-		s, err := catalog.DecodeCompressed(u.State, l.translate)
+		s, err := catalog.DecodeCompressed(u.State, l.Translate)
 		if err != nil || s.Sequence < l.state.Sequence {
-			l.log.Error("cannot use the received state", zap.Error(err), zap.Uint64("sequence", u.Sequence))
+			l.Log.Error("cannot use the received state", zap.Error(err), zap.Uint64("sequence", u.Sequence))
 			return false
 		}
 		l.state = s
@@ -279,24 +300,24 @@
 			err = l.state.Apply(c)
 		}
 		if err != nil {
-			l.log.Error("cannot apply a received change", zap.Error(err), zap.Uint64("sequence", u.Sequence))
+			l.Log.Error("cannot apply a received change", zap.Error(err), zap.Uint64("sequence", u.Sequence))
 			// The next exchange brings the whole state.
 			l.state.Sequence = 0
 			return false
 		}
 	}
 	if _, err := l.state.UpdateConfig(); err != nil {
-		l.log.Error("cannot parse the configuration", zap.Error(err), zap.Uint64("version", l.state.Version))
+		l.Log.Error("cannot parse the configuration", zap.Error(err), zap.Uint64("version", l.state.Version))
 	}
-	l.view.setState(l.clock.Now(), l.state)
-	l.log.Info("state", zap.Uint64("sequence", l.state.Sequence), zap.Uint64("version", l.state.Version), zap.Int("targets", len(l.state.Targets)))
+	l.SetState(l.Clock.Now(), l.state)
+	l.Log.Info("state", zap.Uint64("sequence", l.state.Sequence), zap.Uint64("version", l.state.Version), zap.Int("targets", len(l.state.Targets)))
 	return l.state.Sequence == u.Sequence
 }
 
-// borrow requests tokens from the control process at once, instead of with the
-// next exchange.
-func (l *controlClient) borrow(a coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
+// Borrow requests tokens from the control process at once, instead of with the next
+// exchange. The error is that of the call, which takes at most 350 ms.
+func (l *Client) Borrow(a coordinator.BorrowArgs) (coordinator.BorrowReply, error) {
 	var r coordinator.BorrowReply
-	err := l.pool.Get(l.address()).Call("Peer.Borrow", a, &r, borrowTimeout)
+	err := l.Pool.Get(l.address()).Call("Peer.Borrow", a, &r, borrowTimeout)
 	return r, err
 }
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -48,6 +48,8 @@
 	// datagramHeader is the size of the IP and UDP headers, in bytes.
 	datagramHeader = 28
 	tagSize        = 4
+	// readRetryDelay is the time after a failed read of a datagram until the next one.
+	readRetryDelay = 100 * clock.Millis(1)
 )
 
 // gossip sends the host's observations of targets to other hosts as UDP
@@ -265,7 +267,7 @@
 		n, _, err := g.conn.ReadFromUDP(b)
 		if err != nil {
 			g.log.Warn("cannot read datagrams", zap.Error(err))
-			time.Sleep(busyInterval.Duration())
+			time.Sleep(readRetryDelay.Duration())
 			continue
 		}
 		g.receive(b[:n])
--- a/edge/host.go
+++ b/edge/host.go
@@ -17,6 +17,8 @@
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/connlimit"
+	"github.com/carawayrack/carawayrack/controlplane"
+	"github.com/carawayrack/carawayrack/coordinator"
 	"github.com/carawayrack/carawayrack/forward"
 	"github.com/carawayrack/carawayrack/latency"
 	"github.com/carawayrack/carawayrack/pipeline"
@@ -39,7 +41,7 @@
 
 	view    *fleetView
 	tokens  *token.Borrower
-	control *controlClient
+	control *controlplane.Client
 	gossip  *gossip
 	// poison detects requests that crash their targets.
 	poison      *poison.Detector
@@ -93,11 +95,15 @@
 	h.view.run()
 	peers := &wire.Pool{Secret: h.Settings.Secret}
 	h.tokens = &token.Borrower{Clock: h.Clock, Hosts: h.view.activeCount, Random: rand.Float64, Self: h.Settings.ID, ZoneLender: h.view.zoneLender}
-	h.control = &controlClient{
-		settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, tokens: h.tokens, pool: peers,
-		translate: h.Translate, leaving: h.leaving.Load,
+	h.control = &controlplane.Client{
+		Host: coordinator.Host{
+			ID: h.Settings.ID, Zone: h.Settings.Zone, Callers: h.Settings.Callers, Peer: h.Settings.Peer, Narrow: h.Settings.Narrow,
+		},
+		Clock: h.Clock, Log: h.Log, Tokens: h.tokens, Pool: peers, Translate: h.Translate, Leaving: h.leaving.Load,
+		Addresses: h.Settings.Cores, Cores: h.view.cores, Reports: h.view.rolloutReports,
+		SetState: h.view.setState, SetFleet: h.view.setFleet, ConfirmCurrent: h.view.confirmCurrent,
 	}
-	h.tokens.Borrow, h.tokens.Reachable = h.control.borrow, h.control.reachable
+	h.tokens.Borrow, h.tokens.Reachable = h.control.Borrow, h.control.Reachable
 	h.targetConns = &forward.Pool{
 		Clock: h.Clock, DialTimeout: dialTimeout, UnackedTimeout: unackedTimeout,
 		IdleTimeout: idleTimeout, FreshIdle: freshIdle, MaxIdle: h.Settings.Limits.IdleTargets,
@@ -120,7 +126,7 @@
 	if err := h.listen(); err != nil {
 		return err
 	}
-	h.control.run()
+	h.control.Run()
 	k := &healthChecker{h}
 	go k.loop()
 	return nil
@@ -232,7 +238,7 @@
 // configuration, or nil if no proof arrives. It does not wait if the last proof
 // or, without any, the start is too long ago; see configWaitWindow.
 func (h *Host) waitForCurrentConfig(maxAge clock.Millis) *catalog.Config {
-	h.control.trigger()
+	h.control.Trigger()
 	now := h.Clock.Now()
 	f, age := h.view.current(now)
 	proofExpected := age < h.Settings.MaxConfigAge+configWaitWindow
@@ -258,7 +264,7 @@
 		// The caller's time runs while the request waits for earlier ones.
 		c.start -= clock.FromDuration(time.Since(t))
 	}
-	h.control.noteRequest(now)
+	h.control.NoteRequest(now)
 	defer c.releaseBody()
 	if x := c.admit(); x != nil {
 		c.refuse(x)
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -19,6 +19,7 @@
 	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/controlplane"
 	"github.com/carawayrack/carawayrack/coordinator"
 	"github.com/carawayrack/carawayrack/forward"
 	"github.com/carawayrack/carawayrack/poison"
@@ -180,7 +181,7 @@
 	h.view.run()
 	h.tokens = &token.Borrower{Clock: h.Clock, Hosts: func() int { return 1 }, Borrow: w.borrow, Reachable: func() bool { return true }, Random: func() float64 { return 0 }}
 	h.tokens.Run()
-	h.control = &controlClient{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, triggers: make(chan struct{}, 1)}
+	h.control = &controlplane.Client{Clock: h.Clock, Log: h.Log}
 	h.gossip = &gossip{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, dirty: make(chan struct{}, 1)}
 	h.poison = &poison.Detector{Clock: h.Clock, Log: h.Log, Broadcast: w.broadcast, Dial: w.dial}
 	h.poison.Run()
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -96,7 +96,7 @@
 	h.leaving.Store(true)
 	h.server.Drain()
 	h.bodyReads.update()
-	h.control.trigger()
+	h.control.Trigger()
 	p := h.plan()
 	time.Sleep(p.AcceptFor().Duration())
 	x, stop := context.WithDeadline(context.Background(), start.Add(p.ExitAfter().Duration()))
