Move the form of an explanation of a route to package routing

routing.Explanation and its lines are what the command and hosts exchange as JSON; routing.ExplainedRequest reads a request for one. They need no host, and the command no longer imports package edge for a header. The reason of a refusal is a string there, as the type edge.Reason stays with the refusals; the JSON is the same. Filling in the lines stays in package edge, since it follows the decisions on a request.

--- a/cmd/carawayrack/explain_route.go
+++ b/cmd/carawayrack/explain_route.go
@@ -9,8 +9,8 @@
 	"os"
 
 	"github.com/carawayrack/carawayrack/command"
-	"github.com/carawayrack/carawayrack/edge"
 	"github.com/carawayrack/carawayrack/refusal"
+	"github.com/carawayrack/carawayrack/routing"
 )
 
 const usageExplainRoute = "prints how a running host would route a request, without sending it: explain-route -metrics IP:PORT -host NAME -path PATH"
@@ -47,7 +47,7 @@
 		return nil, err
 	}
 	if key != "" {
-		r.Header.Set(edge.ExplainKeyHeader, key)
+		r.Header.Set(routing.ExplainKeyHeader, key)
 	}
 	c := &http.Client{Timeout: adminTimeout}
 	a, err := c.Do(r)
--- a/edge/explain_route.go
+++ b/edge/explain_route.go
@@ -4,111 +4,25 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/url"
 
 	"github.com/carawayrack/carawayrack/balance"
-	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/routing"
 	"github.com/carawayrack/carawayrack/token"
 )
 
-// ExplainKeyHeader is the header with the key of the caller in a request for an
-// explanation. It is no parameter, since URLs are often logged.
-const ExplainKeyHeader = "Explain-Key"
-
-// RouteExplanation says what the host would do with a request now. Ages are in
-// milliseconds, -1 if unknown.
-type RouteExplanation struct {
-	Configuration ConfigLine    `json:"configuration"`
-	Route         *RouteLine    `json:"route,omitempty"`
-	Account       *AccountLine  `json:"account,omitempty"`
-	Directory     DirectoryLine `json:"directory"`
-	// Services holds the service of the route, or all that share its requests.
-	Services []ServiceLine `json:"services,omitempty"`
-	// Refusal is set if the request would be refused whatever its service is.
-	Refusal *RefusalLine `json:"refusal,omitempty"`
-}
-
-// ConfigLine says which configuration applies. Age is that of the proof that it is
-// current, LimitAge the age at which the host refuses requests.
-type ConfigLine struct {
-	Version  uint64       `json:"version"`
-	Age      clock.Millis `json:"ageMillis"`
-	LimitAge clock.Millis `json:"limitAgeMillis"`
-}
-
-// RouteLine is the route of the request.
-type RouteLine struct {
-	Name      string       `json:"name"`
-	Kind      catalog.Kind `json:"kind"`
-	Prefix    string       `json:"prefix"`
-	Priority  int          `json:"priority"`
-	Attempts  int          `json:"attempts"`
-	TimeLimit clock.Millis `json:"timeLimitMillis"`
-	Objective clock.Millis `json:"objectiveMillis"`
-}
-
-// AccountLine is the account of the request. Held is the number of tokens that the host
-// has borrowed, Source where the next one comes from: held, lender, lenderEmpty or
-// withoutLender. LenderAge is the time since a control process last lent any, -1 if none
-// has.
-type AccountLine struct {
-	Name      string       `json:"name"`
-	Rate      float64      `json:"ratePerSecond"`
-	Burst     float64      `json:"burst"`
-	Held      int          `json:"heldTokens"`
-	Source    string       `json:"source"`
-	LenderAge clock.Millis `json:"lenderAgeMillis"`
-}
-
-// DirectoryLine is what the directory advises to callers of a zone, as old as the list
-// of hosts.
-type DirectoryLine struct {
-	Zone      string       `json:"zone"`
-	Addresses []string     `json:"addresses"`
-	Age       clock.Millis `json:"ageMillis"`
-}
-
-// ServiceLine is a service of the route. Share is its part of the requests.
-type ServiceLine struct {
-	Name  string  `json:"name"`
-	Share float64 `json:"share"`
-	// Waiting requests are in the queue, Ahead of them before this one. Wait estimates
-	// the time until the request is sent, at most LongestWait: 0 if a target can take it.
-	Waiting     int          `json:"waiting"`
-	Ahead       int          `json:"ahead"`
-	Wait        clock.Millis `json:"expectedWaitMillis"`
-	LongestWait clock.Millis `json:"longestWaitMillis"`
-	// RetriesLeft is the rest of the host's retry budget, HedgeLimit that of
-	// Host.hedgeLimit.
-	RetriesLeft float64             `json:"retriesLeft"`
-	HedgeLimit  float64             `json:"hedgeLimit"`
-	Targets     []balance.Candidate `json:"targets"`
-	// Refusal is what the request would get now, or after LongestWait if AfterWait.
-	Refusal *RefusalLine `json:"refusal,omitempty"`
-}
-
-// RefusalLine is a response of the host itself.
-type RefusalLine struct {
-	Reason     Reason       `json:"reason"`
-	Status     int          `json:"status"`
-	RetryAfter clock.Millis `json:"retryAfterMillis,omitempty"`
-	Cause      string       `json:"cause"`
-	AfterWait  bool         `json:"afterWait,omitempty"`
-}
-
-func refusalLine(x *refusal) *RefusalLine {
+func refusalLine(x *refusal) *routing.RefusalLine {
 	if x == nil {
 		return nil
 	}
-	return &RefusalLine{Reason: x.reason, Status: x.status, RetryAfter: x.retryAfter, Cause: x.cause}
+	return &routing.RefusalLine{Reason: string(x.reason), Status: x.status, RetryAfter: x.retryAfter, Cause: x.cause}
 }
 
 // ServeRoute writes how the host would route a request, as JSON. Parameters: host, path,
-// method (GET), account or the key in ExplainKeyHeader, zone (that of the host).
+// method (GET), account or the key in routing.ExplainKeyHeader, zone (that of the host).
 func (h *Host) ServeRoute(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	o, err := explainedRequest(q, r.Header.Get(ExplainKeyHeader), h.Headers)
+	o, err := routing.ExplainedRequest(q, r.Header.Get(routing.ExplainKeyHeader), h.Headers.Key)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -122,39 +36,17 @@
 	_ = json.NewEncoder(w).Encode(h.explainRoute(o, q.Get("account"), zone))
 }
 
-// explainedRequest returns the request as a caller would send it.
-func explainedRequest(q url.Values, key string, n Headers) (*http.Request, error) {
-	method := q.Get("method")
-	if method == "" {
-		method = http.MethodGet
-	}
-	path := q.Get("path")
-	u, err := url.ParseRequestURI(path)
-	if err != nil {
-		return nil, err
-	}
-	o, err := http.NewRequest(method, u.String(), nil)
-	if err != nil {
-		return nil, err
-	}
-	o.Host, o.RequestURI, o.URL = q.Get("host"), path, u
-	if key != "" {
-		o.Header.Set(n.Key, key)
-	}
-	return o, nil
-}
-
 // explainRoute follows a request through the same decisions as admit and send, without
 // waiting, and takes nothing. A crash of targets that only its body tells is not known.
-func (h *Host) explainRoute(r *http.Request, account, zone string) *RouteExplanation {
+func (h *Host) explainRoute(r *http.Request, account, zone string) *routing.Explanation {
 	now := h.Clock.Now()
 	f, age := h.view.current(now)
 	if f == nil {
 		age = -1
 	}
-	e := &RouteExplanation{
-		Configuration: ConfigLine{Age: age, LimitAge: h.Settings.MaxConfigAge},
-		Directory:     DirectoryLine{Zone: zone, Addresses: append([]string{}, h.Resolve(zone)...), Age: age},
+	e := &routing.Explanation{
+		Configuration: routing.ConfigLine{Age: age, LimitAge: h.Settings.MaxConfigAge},
+		Directory:     routing.DirectoryLine{Zone: zone, Addresses: append([]string{}, h.Resolve(zone)...), Age: age},
 	}
 	if f == nil {
 		e.Refusal = refusalLine(notCurrent("no current configuration"))
@@ -174,7 +66,10 @@
 	}
 	if c.route != nil {
 		c.setDeadline()
-		e.Route = &RouteLine{c.route.Name, c.route.Kind, c.route.Prefix, c.priority(), c.route.Attempts, c.deadline - c.start, c.route.Objective}
+		e.Route = &routing.RouteLine{
+			Name: c.route.Name, Kind: c.route.Kind, Prefix: c.route.Prefix, Priority: c.priority(),
+			Attempts: c.route.Attempts, TimeLimit: c.deadline - c.start, Objective: c.route.Objective,
+		}
 		if x == nil {
 			x = c.endsBefore(now)
 		}
@@ -202,10 +97,10 @@
 }
 
 // explainAccount returns the account's line, and the refusal if it has no token.
-func (c *call) explainAccount(now clock.Millis) (*AccountLine, *refusal) {
+func (c *call) explainAccount(now clock.Millis) (*routing.AccountLine, *refusal) {
 	a := c.account
 	s := c.host.tokens.State(now, a)
-	l := &AccountLine{Name: a.Name, Rate: a.Rate, Burst: a.Burst, Held: s.Held, Source: string(s.Source), LenderAge: s.LenderAge}
+	l := &routing.AccountLine{Name: a.Name, Rate: a.Rate, Burst: a.Burst, Held: s.Held, Source: string(s.Source), LenderAge: s.LenderAge}
 	if s.Source == token.SourceEmpty {
 		return l, c.overQuota(s.Wait)
 	}
@@ -213,9 +108,9 @@
 }
 
 // explainService returns the line of the service of the call.
-func (c *call) explainService(now clock.Millis) ServiceLine {
+func (c *call) explainService(now clock.Millis) routing.ServiceLine {
 	v := c.host.view
-	l := ServiceLine{Name: c.service, HedgeLimit: c.host.hedgeLimit(c.service)}
+	l := routing.ServiceLine{Name: c.service, HedgeLimit: c.host.hedgeLimit(c.service)}
 	v.mu.Lock()
 	_, known := v.pools[c.service]
 	v.mu.Unlock()
@@ -241,7 +136,7 @@
 }
 
 // explainPick is tryPick for a request that is neither placed nor queued; v.mu is held.
-func (v *fleetView) explainPick(now clock.Millis, p *pendingPick, l *ServiceLine) {
+func (v *fleetView) explainPick(now clock.Millis, p *pendingPick, l *routing.ServiceLine) {
 	q := v.queues[p.service]
 	if q == nil {
 		q = &balance.Queue{}
--- a/edge/explain_route_test.go
+++ b/edge/explain_route_test.go
@@ -14,20 +14,21 @@
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/routing"
 )
 
 // explain requests an explanation for a path as the command does.
-func (w *testHost) explain(path, key, account string) RouteExplanation {
+func (w *testHost) explain(path, key, account string) routing.Explanation {
 	q := url.Values{"host": {"h"}, "path": {path}}
 	if account != "" {
 		q.Set("account", account)
 	}
 	r := httptest.NewRequest(http.MethodGet, "/route?"+q.Encode(), nil)
-	r.Header.Set(ExplainKeyHeader, key)
+	r.Header.Set(routing.ExplainKeyHeader, key)
 	a := httptest.NewRecorder()
 	w.host.ServeRoute(a, r)
 	Expect(a.Code).To(Equal(200))
-	var e RouteExplanation
+	var e routing.Explanation
 	Expect(json.Unmarshal(a.Body.Bytes(), &e)).To(Succeed())
 	return e
 }
@@ -90,7 +91,7 @@
 		before := w.usage()
 		Expect(w.explain("/safe/x", "k1", "").Services).To(HaveLen(1))
 		w.host.view.config.Routes[0].Parts[0].Service = "without-targets"
-		Expect(w.explain("/safe/x", "k1", "").Services[0].Refusal.Reason).To(Equal(TargetsFull))
+		Expect(w.explain("/safe/x", "k1", "").Services[0].Refusal.Reason).To(Equal(string(TargetsFull)))
 		Expect(w.usage()).To(Equal(before))
 	})
 
@@ -105,7 +106,7 @@
 				x = e.Services[0].Refusal
 			}
 			Expect(x).NotTo(BeNil())
-			Expect(x.Reason).To(Equal(reason))
+			Expect(x.Reason).To(Equal(string(reason)))
 			got := w.get(path, "Key", key)
 			Expect(got.status).To(Equal(x.Status))
 			Expect(got.body).To(ContainSubstring(string(reason)))
--- a/routing/match.go
+++ b/routing/match.go
@@ -1,5 +1,6 @@
 // Package routing finds the route of a request in a configuration, with respect to both
-// readings of an encoded slash, and the URL with which the request is forwarded.
+// readings of an encoded slash, and the URL with which the request is forwarded. Explanation
+// says what a host would do with a request.
 package routing
 
 import (
