Move health checks to package healthcheck

healthcheck.Checker runs in the background and serves no request. It gets the due targets, the notices and the results through fields; the text of its InvalidResponse is that of package edge, so that the log lines stay as they are. The specs of responses that do not pass move with it, and get a stand-in that keeps its connection open; one for a response to an earlier request now has the ID of that request, which it lacked. Specs of what a check changes at a host stay.

--- a/edge/early_response_test.go
+++ b/edge/early_response_test.go
@@ -10,8 +10,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"github.com/carawayrack/carawayrack/balance"
 )
 
 // earlyTarget responds once it has the head of a request. Then it resets the
@@ -145,15 +143,4 @@
 		},
 		Entry("000", "000"), Entry("099", "099"), Entry("101", "101"), Entry("600", "600"), Entry("999", "999"),
 	)
-
-	DescribeTable("does not pass a health check",
-		func(status string) {
-			t := newStandin("t1", "HTTP/1.1 "+status+" X\r\nTarget-Id: t1\r\nContent-Length: 56\r\n\r\n"+
-				"HTTP/1.1 200 OK\r\nTarget-Id: t1\r\nContent-Length: 3\r\n\r\nbad")
-			w := newTestHost(t)
-			k := &healthCheck{host: w.host, service: "s", path: "/health", target: balance.HealthCheck{ID: "t1", Addr: t.ln.Addr().String(), Born: 1}}
-			Expect(k.send()).NotTo(Succeed())
-		},
-		Entry("000", "000"), Entry("099", "099"), Entry("600", "600"),
-	)
 })
--- a/edge/fleet_view_observations.go
+++ b/edge/fleet_view_observations.go
@@ -4,6 +4,7 @@
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/healthcheck"
 )
 
 // activeHosts returns the hosts that take requests: those of the local zone,
@@ -138,16 +139,16 @@
 }
 
 // dueHealthChecks returns the health checks that this host should send now.
-func (v *fleetView) dueHealthChecks(now clock.Millis) []*healthCheck {
+func (v *fleetView) dueHealthChecks(now clock.Millis) []*healthcheck.Check {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var l []*healthCheck
+	var l []*healthcheck.Check
 	for n, p := range v.pools {
 		if p.Service.HealthPath == "" {
 			continue
 		}
 		for _, c := range p.DueHealthChecks(now) {
-			l = append(l, &healthCheck{service: n, path: p.Service.HealthPath, target: c, sentAt: now})
+			l = append(l, &healthcheck.Check{Service: n, Path: p.Service.HealthPath, Target: c, SentAt: now})
 		}
 	}
 	return l
@@ -155,8 +156,8 @@
 
 // healthCheckDone records the result of a health check. It reports whether other
 // hosts should be told.
-func (v *fleetView) healthCheckDone(c *healthCheck, passed bool) bool {
+func (v *fleetView) healthCheckDone(c *healthcheck.Check, passed bool) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.pool(c.service).CheckDone(c.target.ID, c.sentAt, passed)
+	return v.pool(c.Service).CheckDone(c.Target.ID, c.SentAt, passed)
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -127,8 +127,7 @@
 		return err
 	}
 	h.control.Run()
-	k := &healthChecker{h}
-	go k.loop()
+	h.healthChecker().Run()
 	return nil
 }
 
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -16,6 +16,7 @@
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/healthcheck"
 )
 
 var _ = Describe("a request", func() {
@@ -345,8 +346,8 @@
 	health := "HTTP/1.1 200 OK\r\nTarget-Id: t1\r\nContent-Length: 2\r\n\r\nok"
 	check := func(t *standin) error {
 		w := newTestHost(t)
-		c := &healthCheck{host: w.host, service: "s", path: "/health", target: balance.HealthCheck{ID: "t1", Addr: t.ln.Addr().String()}}
-		return c.send()
+		c := &healthcheck.Check{Service: "s", Path: "/health", Target: balance.HealthCheck{ID: "t1", Addr: t.ln.Addr().String()}}
+		return w.host.healthChecker().Send(c)
 	}
 
 	It("passes if the target says in time that it is healthy", func() {
@@ -356,16 +357,6 @@
 		Expect(t.seen[0].Header.Get("Expect-Id")).To(Equal("t1"))
 	})
 
-	DescribeTable("fails on any other response",
-		func(raw string) { Expect(check(newStandin("t1", raw))).NotTo(Succeed()) },
-		Entry("unhealthy", "HTTP/1.1 503 X\r\nTarget-Id: t1\r\nContent-Length: 2\r\n\r\nno"),
-		Entry("of another target", "HTTP/1.1 200 OK\r\nTarget-Id: t2\r\nContent-Length: 2\r\n\r\nok"),
-		Entry("to an earlier request", ok+"HTTP/1.1 503 X\r\nTarget-Id: t1\r\nContent-Length: 2\r\n\r\nno"),
-		Entry("not HTTP", "hello\r\n\r\n"),
-		Entry("closed connection", ""),
-		Entry("without end", "HTTP/1.1 200 OK\r\nTarget-Id: t1\r\nContent-Length: 99999\r\n\r\n"+strings.Repeat("x", 99999)),
-	)
-
 	It("lets a target that a request found broken get requests again", func() {
 		t1 := newStandin("t1", "", health, health, ok)
 		w := newTestHost(t1)
@@ -375,8 +366,7 @@
 		n := w.host.Clock.Now()
 		for i := clock.Millis(1); i <= 3; i++ {
 			for _, c := range w.host.view.dueHealthChecks(n + i*2*clock.Second) {
-				c.host = w.host
-				c.run()
+				w.host.healthChecker().Check(c)
 			}
 		}
 		Expect(t1.requests()).To(Equal(3))
--- a/edge/notice_test.go
+++ b/edge/notice_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/healthcheck"
 )
 
 const saysLeaving = "Leaving: 1\r\n"
@@ -78,11 +79,11 @@
 	It("may say so in a response to a health check", func() {
 		t1 := newStandin("t1", "HTTP/1.1 503 X\r\nTarget-Id: t1\r\n"+saysLeaving+"Content-Length: 2\r\n\r\nno", ok)
 		w := newTestHost(t1)
-		h := &healthCheck{host: w.host, service: "s", path: "/health", target: balance.HealthCheck{ID: "t1", Addr: t1.ln.Addr().String(), Born: 1}}
-		h.run()
+		h := &healthcheck.Check{Service: "s", Path: "/health", Target: balance.HealthCheck{ID: "t1", Addr: t1.ln.Addr().String(), Born: 1}}
+		w.host.healthChecker().Check(h)
 		Expect(w.post("/unsafe/", "b").status).To(Equal(503))
 		Expect(t1.requests()).To(Equal(1))
-		h.run()
+		w.host.healthChecker().Check(h)
 		Expect(t1.requests()).To(Equal(1))
 	})
 })
