--- a/edge/call.go
+++ b/edge/call.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -13,8 +12,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/routing"
 )
 
 const (
@@ -110,7 +111,7 @@
 	if x := c.readBody(f.Limits.BodyBytes); x != nil {
 		return x
 	}
-	if x := c.host.poison.check(c); x != nil {
+	if x := c.checkQuarantine(); x != nil {
 		return x
 	}
 	return c.takeToken()
@@ -126,10 +127,10 @@
 // configuration has no route for the request or does not have its key.
 func (c *call) findRoute(f *catalog.Config) *refusal {
 	version := "version " + strconv.FormatUint(f.Version, 10)
-	if !pathKept(c.r) {
+	if !routing.PathKept(c.r) {
 		return &refusal{BadRequest, http.StatusBadRequest, 0, "the path cannot be forwarded unchanged"}
 	}
-	if c.route = matchRoute(f, c.r); c.route == nil {
+	if c.route = routing.Match(f, c.r); c.route == nil {
 		return &refusal{NoRoute, http.StatusNotFound, 0, version}
 	}
 	c.account = f.AccountByKey(c.r.Header.Get(c.host.Headers.Key))
@@ -139,15 +140,6 @@
 	return nil
 }
 
-// hostName returns the host of a request without the port.
-func hostName(r *http.Request) string {
-	name, _, err := net.SplitHostPort(r.Host)
-	if err != nil {
-		return r.Host
-	}
-	return name
-}
-
 // setDeadline sets the time at which the request times out.
 func (c *call) setDeadline() {
 	d := defaultDeadline
@@ -165,7 +157,7 @@
 	if c.account == nil {
 		return nil
 	}
-	ok, wait := c.host.tokens.take(c.account)
+	ok, wait := c.host.tokens.Take(c.account)
 	if ok {
 		return nil
 	}
@@ -192,25 +184,25 @@
 	}
 	c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	c.host.bodyReads.begin(c)
-	b, err := c.host.requestBuffers.read(c.r.Body, maxBufferedBody)
+	b, err := c.host.requestBuffers.Read(c.r.Body, maxBufferedBody)
 	c.host.bodyReads.end(c)
-	c.reserved = b.reserved
+	c.reserved = b.Reserved
 	var large *http.MaxBytesError
 	switch {
-	case err == nil, errors.As(err, &BufferFull{}):
+	case err == nil, errors.As(err, &buffer.Full{}):
 	case errors.As(err, &large):
 		return &refusal{BodyTooLarge, http.StatusRequestEntityTooLarge, 0, "more than " + strconv.FormatInt(limit, 10)}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		if x := c.endsBefore(c.host.Clock.Now()); x != nil {
 			return x
 		}
-		return &refusal{BodyTooLate, http.StatusRequestTimeout, 0, strconv.Itoa(len(b.bytes)) + " bytes arrived"}
+		return &refusal{BodyTooLate, http.StatusRequestTimeout, 0, strconv.Itoa(len(b.Bytes)) + " bytes arrived"}
 	default:
 		return &refusal{BadRequest, http.StatusBadRequest, 0, "cannot read the request body: " + err.Error()}
 	}
-	c.body = b.bytes
-	if b.whole {
-		c.bodyLength = int64(len(b.bytes))
+	c.body = b.Bytes
+	if b.Whole {
+		c.bodyLength = int64(len(b.Bytes))
 		return nil
 	}
 	c.unreadBody, c.streamed = c.r.Body, true
@@ -254,7 +246,7 @@
 		h["User-Agent"] = []string{""}
 	}
 	o := &http.Request{
-		Method: c.r.Method, URL: outgoingURL(c.r), Host: c.r.Host, Header: h,
+		Method: c.r.Method, URL: routing.OutgoingURL(c.r), Host: c.r.Host, Header: h,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(c.body) > 0 {
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -11,6 +11,8 @@
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
+	"github.com/carawayrack/carawayrack/poison"
+	"github.com/carawayrack/carawayrack/token"
 )
 
 // The kinds of datagrams.
@@ -46,6 +48,8 @@
 	// datagramHeader is the size of the IP and UDP headers, in bytes.
 	datagramHeader = 28
 	tagSize        = 4
+	// readRetryDelay is the time after a failed read of a datagram until the next one.
+	readRetryDelay = 100 * clock.Millis(1)
 )
 
 // gossip sends the host's observations of targets to other hosts as UDP
@@ -60,9 +64,9 @@
 	log      *zap.Logger
 	view     *fleetView
 	metrics  *metrics
-	poison   *poisonDetector
+	poison   *poison.Detector
 	// peerTokens handles requests of other hosts for tokens.
-	peerTokens *peerTokens
+	peerTokens *token.Peers
 
 	conn *net.UDPConn
 	// tag is the start of the SHA-256 sum of the secret; datagrams without it
@@ -263,7 +267,7 @@
 		n, _, err := g.conn.ReadFromUDP(b)
 		if err != nil {
 			g.log.Warn("cannot read datagrams", zap.Error(err))
-			time.Sleep(busyInterval.Duration())
+			time.Sleep(readRetryDelay.Duration())
 			continue
 		}
 		g.receive(b[:n])
@@ -281,13 +285,13 @@
 	}
 	switch kind {
 	case kindCrash:
-		g.poison.receive(b[k:])
+		g.poison.Receive(b[k:])
 		return
 	case kindBorrow:
-		g.peerTokens.receiveRequest(string(b[:k]), b[k:])
+		g.peerTokens.ReceiveRequest(string(b[:k]), b[k:])
 		return
 	case kindLent:
-		g.peerTokens.receiveLoan(b[k:])
+		g.peerTokens.ReceiveLoan(b[k:])
 		return
 	}
 	host, l := string(b[:k]), balance.DecodeObservations(b[k:])
--- a/edge/host.go
+++ b/edge/host.go
@@ -13,12 +13,18 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/connlimit"
+	"github.com/carawayrack/carawayrack/controlplane"
+	"github.com/carawayrack/carawayrack/coordinator"
 	"github.com/carawayrack/carawayrack/forward"
 	"github.com/carawayrack/carawayrack/latency"
 	"github.com/carawayrack/carawayrack/pipeline"
+	"github.com/carawayrack/carawayrack/poison"
+	"github.com/carawayrack/carawayrack/routing"
+	"github.com/carawayrack/carawayrack/token"
 	"github.com/carawayrack/carawayrack/wire"
 )
 
@@ -34,15 +40,15 @@
 	ReadyPath string
 
 	view    *fleetView
-	tokens  *tokens
-	control *controlClient
+	tokens  *token.Borrower
+	control *controlplane.Client
 	gossip  *gossip
 	// poison detects requests that crash their targets.
-	poison      *poisonDetector
+	poison      *poison.Detector
 	hedger      hedger
 	targetConns *forward.Pool
 	// requestBuffers and responseBuffers bound the memory for bodies.
-	requestBuffers, responseBuffers *bodyBudget
+	requestBuffers, responseBuffers *buffer.Budget
 	sizes                           responseSizes
 	// calls is the number of requests that may have a connection to a target.
 	calls   atomic.Int32
@@ -81,41 +87,47 @@
 func (h *Host) Run() error {
 	h.started = h.Clock.Now()
 	h.metrics = newMetrics()
-	h.requestBuffers, h.responseBuffers = newBodyBudget(h.Settings.Memory), newBodyBudget(h.Settings.Memory)
+	h.requestBuffers, h.responseBuffers = buffer.NewBudget(h.Settings.Memory), buffer.NewBudget(h.Settings.Memory)
 	if n := h.Settings.Limits.FreeBody; n > 0 {
-		h.requestBuffers.free, h.responseBuffers.free = n, n
+		h.requestBuffers.Free, h.responseBuffers.Free = n, n
 	}
 	h.view = &fleetView{zone: h.Settings.Zone, self: h.Settings.ID, retry: h.Settings.Retry, random: rand.IntN, log: h.Log}
 	h.view.run()
 	peers := &wire.Pool{Secret: h.Settings.Secret}
-	h.tokens = &tokens{clock: h.Clock, hosts: h.view.activeCount, random: rand.Float64}
-	h.tokens.run()
-	h.control = &controlClient{
-		settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, tokens: h.tokens, pool: peers,
-		translate: h.Translate, leaving: h.leaving.Load,
+	h.tokens = &token.Borrower{Clock: h.Clock, Hosts: h.view.activeCount, Random: rand.Float64, Self: h.Settings.ID, ZoneLender: h.view.zoneLender}
+	h.control = &controlplane.Client{
+		Host: coordinator.Host{
+			ID: h.Settings.ID, Zone: h.Settings.Zone, Callers: h.Settings.Callers, Peer: h.Settings.Peer, Narrow: h.Settings.Narrow,
+		},
+		Clock: h.Clock, Log: h.Log, Tokens: h.tokens, Pool: peers, Translate: h.Translate, Leaving: h.leaving.Load,
+		Addresses: h.Settings.Cores, Cores: h.view.cores, Reports: h.view.rolloutReports,
+		SetState: h.view.setState, SetFleet: h.view.setFleet, ConfirmCurrent: h.view.confirmCurrent,
 	}
-	h.tokens.borrow, h.tokens.reachable = h.control.borrow, h.control.reachable
+	h.tokens.Borrow, h.tokens.Reachable = h.control.Borrow, h.control.Reachable
 	h.targetConns = &forward.Pool{
 		Clock: h.Clock, DialTimeout: dialTimeout, UnackedTimeout: unackedTimeout,
 		IdleTimeout: idleTimeout, FreshIdle: freshIdle, MaxIdle: h.Settings.Limits.IdleTargets,
 	}
 	h.targetConns.Run()
 	h.gossip = &gossip{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, metrics: h.metrics}
-	h.poison = &poisonDetector{clock: h.Clock, log: h.Log, broadcast: h.gossip.broadcastSuspicion}
-	h.poison.run()
+	h.poison = &poison.Detector{Clock: h.Clock, Log: h.Log, Broadcast: h.gossip.broadcastSuspicion, Dial: dialTarget}
+	h.poison.Run()
 	h.gossip.poison = h.poison
-	h.gossip.peerTokens = &peerTokens{view: h.view, take: h.tokens.takeForPeer, send: h.gossip.sendTo}
-	h.gossip.peerTokens.run()
-	h.tokens.self, h.tokens.zoneLender, h.tokens.request = h.Settings.ID, h.view.zoneLender, h.gossip.peerTokens.request
+	h.gossip.peerTokens = &token.Peers{
+		Find: h.view.hostAndAccount, Take: h.tokens.TakeForPeer,
+		SendRequest: h.gossip.sendTokenRequest, SendLoan: h.gossip.sendTokenLoan,
+	}
+	h.gossip.peerTokens.Run()
+	h.tokens.Request = h.gossip.peerTokens.Request
+	h.tokens.Run()
 	if err := h.gossip.run(); err != nil {
 		return errors.Wrap(err, "edge.Run")
 	}
 	if err := h.listen(); err != nil {
 		return err
 	}
-	h.control.run()
-	k := &healthChecker{h}
-	go k.loop()
+	h.control.Run()
+	h.healthChecker().Run()
 	return nil
 }
 
@@ -132,7 +144,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+h.ReadyPath, h.serveReady)
 	callers := &connlimit.Listener{Listener: l, Name: "callers", Max: h.Settings.Limits.Callers}
-	h.responseBuffers.reclaim = callers.EvictBlocked
+	h.responseBuffers.Reclaim = callers.EvictBlocked
 	ready := &connlimit.Listener{Listener: r, Name: "ready", Max: h.Settings.Limits.Ready, Heads: h.heads()}
 	s := ready.Server(m)
 	s.ErrorLog = zap.NewStdLog(h.Log)
@@ -151,7 +163,7 @@
 func (h *Host) callerServer() *pipeline.Server {
 	return &pipeline.Server{
 		Handler: h, Independent: h.independent, Limits: h.callerLimits, NotRead: h.logNotRead, Log: h.Log,
-		Heads: h.heads(), NoMemory: h.countNoHeadMemory, Busy: h.responseBuffers.scarce,
+		Heads: h.heads(), NoMemory: h.countNoHeadMemory, Busy: h.responseBuffers.Scarce,
 	}
 }
 
@@ -194,7 +206,7 @@
 	if c == nil {
 		return true
 	}
-	t := matchRoute(c, r)
+	t := routing.Match(c, r)
 	return t == nil || t.Kind.Repeatable()
 }
 
@@ -225,7 +237,7 @@
 // configuration, or nil if no proof arrives. It does not wait if the last proof
 // or, without any, the start is too long ago; see configWaitWindow.
 func (h *Host) waitForCurrentConfig(maxAge clock.Millis) *catalog.Config {
-	h.control.trigger()
+	h.control.Trigger()
 	now := h.Clock.Now()
 	f, age := h.view.current(now)
 	proofExpected := age < h.Settings.MaxConfigAge+configWaitWindow
@@ -251,7 +263,7 @@
 		// The caller's time runs while the request waits for earlier ones.
 		c.start -= clock.FromDuration(time.Since(t))
 	}
-	h.control.noteRequest(now)
+	h.control.NoteRequest(now)
 	defer c.releaseBody()
 	if x := c.admit(); x != nil {
 		c.refuse(x)
@@ -277,7 +289,7 @@
 }
 
 // releaseBody gives the memory of the request's body back to the budget.
-func (c *call) releaseBody() { c.host.requestBuffers.give(c.reserved) }
+func (c *call) releaseBody() { c.host.requestBuffers.Give(c.reserved) }
 
 // overdue records that a target has not responded within the usual time.
 func (h *Host) overdue(service string, a *attempt) {
@@ -301,7 +313,7 @@
 		account = c.account.Name
 	}
 	now := c.host.Clock.Now()
-	c.host.metrics.latency.record(c.kind()+".refused", now-c.start)
+	c.host.metrics.latency.Record(c.kind()+".refused", now-c.start)
 	_, age := c.host.view.current(now)
 	c.host.Log.Info("refused", zap.String("request", c.id), zap.String("reason", string(x.reason)), zap.Int("status", x.status),
 		zap.String("cause", x.cause), zap.String("route", name), zap.String("account", account),
@@ -321,6 +333,6 @@
 
 // countResponse counts a response of a target that is sent to the caller.
 func (c *call) countResponse(a *attempt) {
-	c.host.metrics.latency.record(c.kind()+".answered", c.host.Clock.Now()-c.start)
+	c.host.metrics.latency.Record(c.kind()+".answered", c.host.Clock.Now()-c.start)
 	c.host.metrics.responses.Add(c.service+"."+strconv.Itoa(a.response.StatusCode/100), 1)
 }
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -16,10 +16,14 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
+	"github.com/carawayrack/carawayrack/controlplane"
 	"github.com/carawayrack/carawayrack/coordinator"
 	"github.com/carawayrack/carawayrack/forward"
+	"github.com/carawayrack/carawayrack/poison"
+	"github.com/carawayrack/carawayrack/token"
 )
 
 // testHeaders are the header names that the tests use.
@@ -172,15 +176,15 @@
 		Headers:  testHeaders, Clock: clock.Boot(), Log: zap.NewNop(),
 	}
 	h.metrics = newMetrics()
-	h.requestBuffers, h.responseBuffers = newBodyBudget(0), newBodyBudget(0)
+	h.requestBuffers, h.responseBuffers = buffer.NewBudget(0), buffer.NewBudget(0)
 	h.view = &fleetView{zone: "z", retry: h.Settings.Retry, random: func(int) int { return 0 }, log: h.Log}
 	h.view.run()
-	h.tokens = &tokens{clock: h.Clock, hosts: func() int { return 1 }, borrow: w.borrow, reachable: func() bool { return true }, random: func() float64 { return 0 }}
-	h.tokens.run()
-	h.control = &controlClient{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, triggers: make(chan struct{}, 1)}
+	h.tokens = &token.Borrower{Clock: h.Clock, Hosts: func() int { return 1 }, Borrow: w.borrow, Reachable: func() bool { return true }, Random: func() float64 { return 0 }}
+	h.tokens.Run()
+	h.control = &controlplane.Client{Clock: h.Clock, Log: h.Log}
 	h.gossip = &gossip{settings: h.Settings, clock: h.Clock, log: h.Log, view: h.view, dirty: make(chan struct{}, 1)}
-	h.poison = &poisonDetector{clock: h.Clock, log: h.Log, broadcast: w.broadcast, dial: w.dial}
-	h.poison.run()
+	h.poison = &poison.Detector{Clock: h.Clock, Log: h.Log, Broadcast: w.broadcast, Dial: w.dial}
+	h.poison.Run()
 	h.targetConns = &forward.Pool{Clock: h.Clock, DialTimeout: 500}
 	h.targetConns.Run()
 	DeferCleanup(h.targetConns.Close)
