Lengthen the first election timeout with each election without a leader

Cause: a replica that has known no leader since its start begins an election 40 to 80 ms after the last one. An election with its three syncs takes longer on a busy machine, so that the next one interrupts it. One replica that does so also keeps the others from campaigning, since each new term resets their deadlines: after the restart of a leader that is still a voter (killed, or its planned stop has timed out) no process knows a leader for as long as elections take longer than 80 ms.

Change: the timeout doubles with each term that begins before the replica has known a leader, up to the election timeout. The first election is as early as before.

--- /dev/null
+++ b/replica/election_test.go
@@ -0,0 +1,95 @@
+package replica
+
+import (
+	"math/rand"
+
+	ginkgo "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/carawayrack/carawayrack/clock"
+)
+
+// electorate is a set of replicas whose first elections have a shorter timeout.
+type electorate struct {
+	random *rand.Rand
+	nodes  map[string]*Node
+	now    clock.Millis
+}
+
+func newElectorate(seed int64) *electorate {
+	e := &electorate{rand.New(rand.NewSource(seed)), map[string]*Node{}, 0}
+	for id := range bootstrapMembers().Voters {
+		e.start(id, PersistentState{Vote: Vote{Term: 7}})
+	}
+	return e
+}
+
+func (e *electorate) start(id string, d PersistentState) {
+	e.nodes[id] = &Node{
+		ID: id, ElectionTimeout: 800, FirstElectionTimeout: 40, Heartbeat: 200, CompactAfter: 100, Random: e.random.Intn,
+		Storage:  Storage{Save: func(Vote, []Entry) error { return nil }},
+		Sequence: func() uint64 { return 0 }, Apply: func(Entry) {},
+	}
+	e.nodes[id].Run(e.now, d, bootstrapMembers())
+}
+
+// elect runs the replicas, whose messages take delay with their syncs, and returns the time
+// until all know a leader, or limit.
+func (e *electorate) elect(delay, limit clock.Millis) clock.Millis {
+	var inFlight []delivery
+	for start := e.now; e.now < start+limit; e.now++ {
+		for len(inFlight) > 0 && inFlight[0].at <= e.now {
+			e.nodes[inFlight[0].m.To].Step(e.now, inFlight[0].m)
+			inFlight = inFlight[1:]
+		}
+		known := 0
+		for _, id := range []string{"a.founder", "b.founder", "c.founder"} {
+			n := e.nodes[id]
+			if e.now%25 == 0 {
+				n.Tick(e.now)
+			}
+			for _, m := range n.TakeMessages() {
+				inFlight = append(inFlight, delivery{e.now + delay, m})
+			}
+			if n.LeaderID() != "" {
+				known++
+			}
+		}
+		if known == len(e.nodes) {
+			return e.now - start
+		}
+	}
+	return limit
+}
+
+var _ = ginkgo.Describe("the first election after a start", func() {
+	// An election over links of 100 ms takes longer than the first timeout.
+	const slow, limit, within = 100, 30_000, 10 * 800
+
+	// Guards against replicas that know no leader for ever because each election is
+	// interrupted by the next one.
+	ginkgo.It("ends within some election timeouts where it takes longer than the first timeout", func() {
+		for seed := int64(1); seed <= 100; seed++ {
+			Expect(newElectorate(seed).elect(slow, limit)).To(BeNumerically("<", within), "seed %d", seed)
+		}
+	})
+
+	// Guards against the same where one replica has restarted, whose elections keep the
+	// others from beginning one.
+	ginkgo.It("ends there after the restart of the leader", func() {
+		for seed := int64(1); seed <= 100; seed++ {
+			e := newElectorate(seed)
+			e.elect(3, limit)
+			l := e.nodes[e.nodes["a.founder"].LeaderID()]
+			e.start(l.ID, PersistentState{Vote: l.vote, Entries: l.entries})
+			Expect(e.elect(slow, limit)).To(BeNumerically("<", within), "seed %d", seed)
+		}
+	})
+
+	// Guards against a fleet that starts more slowly.
+	ginkgo.It("ends within an election timeout where messages and syncs are fast", func() {
+		for seed := int64(1); seed <= 100; seed++ {
+			Expect(newElectorate(seed).elect(3, limit)).To(BeNumerically("<", 800), "seed %d", seed)
+		}
+	})
+})
--- a/replica/node.go
+++ b/replica/node.go
@@ -35,7 +35,8 @@
 	Heartbeat clock.Millis
 	// FirstElectionTimeout, if set, replaces ElectionTimeout until the replica
 	// has contact with a leader for the first time since its start, and lets a
-	// restarted replica grant votes at once. It must be left unset where a
+	// restarted replica grant votes at once. It doubles with each term that begins
+	// in that time, up to ElectionTimeout. It must be left unset where a
 	// proof of leadership is taken to hold beyond its time At, as a lease is.
 	FirstElectionTimeout clock.Millis
 	// CompactAfter is the number of applied entries after which a snapshot
@@ -68,6 +69,8 @@
 
 	// leaderContactAt is when the last message from a leader arrived.
 	leaderContactAt clock.Millis
+	// startTerm is the term at the start.
+	startTerm uint64
 	// sawLeader is true once the replica has known a leader since its start.
 	sawLeader        bool
 	electionDeadline clock.Millis
@@ -102,6 +105,7 @@
 func (n *Node) Run(now clock.Millis, d PersistentState, initial Members) {
 	n.role = Follower
 	n.vote = d.Vote
+	n.startTerm = d.Vote.Term
 	n.snapshot = d.Snapshot
 	n.entries = d.Entries
 	if len(n.snapshot.Members.Voters) == 0 {
@@ -218,10 +222,16 @@
 	return l
 }
 
+// maxDoublings keeps the doubled FirstElectionTimeout from overflowing. 2^16 ms is more
+// than a minute.
+const maxDoublings = 16
+
 func (n *Node) resetElectionDeadline(now clock.Millis) {
 	e := n.ElectionTimeout
 	if n.FirstElectionTimeout > 0 && !n.sawLeader {
-		e = n.FirstElectionTimeout
+		// An election that takes longer than the timeout never ends: the next one
+		// begins first. Syncs on a busy machine take longer than 40 ms.
+		e = min(e, n.FirstElectionTimeout<<min(n.vote.Term-n.startTerm, maxDoublings))
 	}
 	n.electionDeadline = now + e + clock.Millis(n.Random(int(e)))
 }
