Share counts of unserved requests among the hosts of a zone

A host sees some 5 requests/s of a service, too few to estimate how many of the service's requests are not served. Decisions on unused targets need the share in the zone.

Each host counts by service the requests that ended in the last 2 s (in steps of 100 ms) and those that failed, timed out or found no target. It sends both each second to the hosts of its zone, in large zones within the digest. They have the form of an observation with the reserved key 0: processes without this change treat any unknown kind of datagram as changes, and a datagram of its own costs 44 bytes for each host, 1.8 kB/s in a zone of 42 hosts. The bytes beyond the digest are limited to 1,000 a second; services take turns if that is not enough. A host adds up its own counts and those heard within 3 s.

Specs: with 42 hosts and four services each host knows the counts of at least three quarters of the others within the 1,000 bytes a second; Merge and Overwrite, which processes without the change apply to a digest, ignore the counts.

--- a/balance/pool.go
+++ b/balance/pool.go
@@ -41,6 +41,10 @@
 	// hasProbes is true.
 	probeRequestAt clock.Millis
 	hasProbes      bool
+	// outcomes counts the requests that ended at this host, peerOutcomes those at other
+	// hosts by their ID.
+	outcomes     recentOutcomes
+	peerOutcomes map[string]peerOutcomes
 	// anyHealthy is true if any target that accepts requests is healthy.
 	anyHealthy bool
 	// rollout is the last roll-out of the service.
--- a/edge/fleet_view_observations.go
+++ b/edge/fleet_view_observations.go
@@ -115,6 +115,10 @@
 	defer v.mu.Unlock()
 	zone := v.zoneOf(host)
 	for _, e := range l {
+		if o, key, age, ok := e.Outcomes(); ok {
+			v.mergeOutcomes(now, host, key, o, now-age)
+			continue
+		}
 		for n, p := range v.pools {
 			apply := p.Merge
 			if kind == kindDigest || p.Authoritative(e, zone) {
--- a/edge/gossip.go
+++ b/edge/gossip.go
@@ -19,7 +19,8 @@
 	kindChanges = iota
 	// kindDigest datagrams hold observations of all serving targets of the
 	// sender's zone, for other zones, or of all that the sender owns first, for
-	// the local zone, or what a relay has received from other zones.
+	// the local zone, or what a relay has received from other zones. Those for the
+	// local zone also hold the sender's counts of ended requests.
 	kindDigest
 	// kindCrash datagrams report that a target crashed while it ran a request,
 	// or that a suspected request was answered.
@@ -77,6 +78,7 @@
 	// a large zone.
 	budgetMu   sync.Mutex
 	broadcasts byteBudget
+	outcomes   outcomeReports
 	// dirty is signalled when there are changed observations to send.
 	dirty chan struct{}
 }
@@ -126,16 +128,21 @@
 }
 
 // sendDigest sends a digest to the hosts of the local zone, or of the others if
-// the local zone is small, and health changes to the relays of other zones.
+// the local zone is small, and health changes to the relays of other zones. The
+// hosts of the local zone get the counts of ended requests in any case.
 func (g *gossip) sendDigest() {
 	l := g.view.activeHosts(false)
-	switch {
-	case len(l) > balance.SmallZoneHosts:
-		g.send(kindDigest, g.view.firstOwned(g.clock.Now()), l)
+	now := g.clock.Now()
+	if len(l) > balance.SmallZoneHosts {
+		o := g.view.firstOwned(now)
+		g.send(kindDigest, append(o, g.takeOutcomes(now, l, len(o) == 0)...), l)
 		g.rounds++
-		g.send(kindRelay, g.view.takeHealthChanges(g.clock.Now()), relayFor(g.view.otherZones(), g.settings.ID, g.rounds))
-	case len(l) > 0 && l[0].ID == g.settings.ID:
-		g.send(kindDigest, g.view.digest(g.clock.Now()), g.view.otherZones())
+		g.send(kindRelay, g.view.takeHealthChanges(now), relayFor(g.view.otherZones(), g.settings.ID, g.rounds))
+		return
+	}
+	g.send(kindDigest, g.takeOutcomes(now, l, true), l)
+	if len(l) > 0 && l[0].ID == g.settings.ID {
+		g.send(kindDigest, g.view.digest(now), g.view.otherZones())
 	}
 }
 
--- a/edge/host.go
+++ b/edge/host.go
@@ -293,6 +293,7 @@
 		x.status, x.retryAfter = http.StatusBadGateway, 0
 	}
 	c.host.metrics.refusals.Add(string(x.reason), 1)
+	c.countRefusal(x)
 	name, account := "", ""
 	if c.route != nil {
 		name = c.route.Name
@@ -321,6 +322,7 @@
 
 // countResponse counts a response of a target that is sent to the caller.
 func (c *call) countResponse(a *attempt) {
+	c.countEnd(a.response.StatusCode < http.StatusInternalServerError)
 	c.host.metrics.latency.record(c.kind()+".answered", c.host.Clock.Now()-c.start)
 	c.host.metrics.responses.Add(c.service+"."+strconv.Itoa(a.response.StatusCode/100), 1)
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
 )
@@ -19,12 +20,16 @@
 	// Targets holds the number of unhealthy targets and of all targets, by
 	// service.
 	Targets map[string][2]int `json:"targets"`
+	// Unserved holds the share of requests in the zone that were not served, by
+	// service.
+	Unserved map[string]balance.UnservedShare `json:"unserved"`
 }
 
 // State returns the state of the host.
 func (h *Host) State() State {
-	c, age := h.view.current(h.Clock.Now())
-	s := State{AgeMillis: age, Ready: h.Ready(), Targets: map[string][2]int{}}
+	now := h.Clock.Now()
+	c, age := h.view.current(now)
+	s := State{AgeMillis: age, Ready: h.Ready(), Targets: map[string][2]int{}, Unserved: map[string]balance.UnservedShare{}}
 	if c != nil {
 		s.Version = c.Version
 	}
@@ -34,6 +39,7 @@
 	for n, p := range h.view.pools {
 		unhealthy, all := p.Unhealthy()
 		s.Targets[n] = [2]int{unhealthy, all}
+		s.Unserved[n] = p.UnservedShare(now)
 	}
 	return s
 }
--- a/edge/stream.go
+++ b/edge/stream.go
@@ -203,6 +203,9 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		cause = "deadline"
 	}
+	if cause != "caller" {
+		c.countEnd(false)
+	}
 	sum, longest := a.stream.Paused()
 	c.host.metrics.streams.Add(c.service+"."+cause, 1)
 	c.host.Log.Info("truncated", zap.String("request", c.id), zap.String("target", a.choice.ID), zap.String("service", c.service),
