Send requests to unused targets while many are not served

After a power loss, and in services of 6 or 7 targets, more than three of ten healthy targets got no request for 2 s while more than a tenth of the requests was not served. Requests that must not be repeated go to the target with the lowest cost, that is to those with recent successes; nothing made them use the others.

While at least 5 % of the service's requests in the zone are not served, or without counts of other hosts for 3 s, the next request of the first owner goes to a usable target that has had none for 1 s as far as the owner knows, one at a time, also if the target has passed its health checks but needs successes of requests. Each such request is logged and counted.

--- a/balance/explain.go
+++ b/balance/explain.go
@@ -30,7 +30,7 @@
 	ID      string `json:"id"`
 	Zone    string `json:"zone"`
 	Version string `json:"version,omitempty"`
-	// Against is the reason why it is not used, "" if it may be used. Chosen is
+	// Against is the reason why it is not used, "" if it may be used. Chosen is "unused",
 	// "oldestObservation" or "lowestCost" for the target that would get the request.
 	Against Obstacle `json:"against,omitempty"`
 	Chosen  string   `json:"chosen,omitempty"`
@@ -56,10 +56,10 @@
 	defer p.restore(p.anyHealthy, p.trials())
 	p.updateAnyHealthy()
 	var best *target
-	oldest := false
+	var why criterion
 	for _, a.side = range p.sides(a) {
 		x := p.prepare(a)
-		if best, oldest = p.choose(now, x); best != nil {
+		if best, why = p.choose(now, x); best != nil {
 			a = x
 			break
 		}
@@ -80,10 +80,7 @@
 			c.Parts = parts
 		}
 		if t == best {
-			c.Chosen = "lowestCost"
-			if oldest {
-				c.Chosen = "oldestObservation"
-			}
+			c.Chosen = string(why)
 		}
 		l = append(l, c)
 	}
--- a/balance/explain_test.go
+++ b/balance/explain_test.go
@@ -38,6 +38,10 @@
 	}
 	p.SetTargets(now-5000, l, map[string]bool{})
 	p.SetHosts([]string{"h0", "h1"})
+	if r.Intn(2) == 0 {
+		// Nothing is unserved: unused targets are not tried.
+		p.SetPeerOutcomes(now-4000, "h1", Outcomes{Ended: 10}, now-2000)
+	}
 	for range 40 {
 		at := now - clock.Millis(r.Intn(4000))
 		c, ok := p.Pick(at, Request{Idempotent: r.Intn(2) == 0, Retryable: true})
@@ -58,7 +62,7 @@
 	It("names the target that Pick chooses and an obstacle for each that it must not use, and changes nothing", func() {
 		r := rand.New(rand.NewSource(5))
 		chosen, obstacles := 0, map[Obstacle]bool{}
-		for range 300 {
+		for range 400 {
 			const now = clock.Millis(100_000)
 			p := randomPool(r, now)
 			a := Request{Idempotent: r.Intn(2) == 0, Retryable: r.Intn(2) == 0, LargeBody: r.Intn(2) == 0, FreeSlotOnly: r.Intn(2) == 0, Avoid: []string{"t1"}, Sample: r.Float64(), Repeated: r.Intn(2) == 0}
--- a/balance/health.go
+++ b/balance/health.go
@@ -35,7 +35,7 @@
 	if t.probing && r.Outcome != Served && r.Outcome != Cancelled {
 		t.failedTrials++
 	}
-	t.probing = false
+	t.probing, t.trying = false, false
 	t.changed = true
 	if r.Load.Known {
 		t.load, t.loadAt = r.Load, now
--- a/balance/health_check_test.go
+++ b/balance/health_check_test.go
@@ -121,9 +121,9 @@
 				failed++
 				continue
 			}
-			o := openRequest{c.ID, now + 260, Served}
+			o := openRequest{p, c.ID, now, now + 260, Served}
 			if sick(now, c.ID) {
-				o = openRequest{c.ID, now + 5, Broken}
+				o = openRequest{p, c.ID, now, now + 5, Broken}
 				failed++
 			}
 			open = append(open, o)
@@ -139,7 +139,8 @@
 
 // openRequest is a request in flight in a simulation.
 type openRequest struct {
-	id      string
-	end     clock.Millis
-	outcome Outcome
+	pool       *Pool
+	id         string
+	start, end clock.Millis
+	outcome    Outcome
 }
--- a/balance/observation.go
+++ b/balance/observation.go
@@ -230,6 +230,7 @@
 	defer p.notifyHealthChange(now, t, t.successesNeeded == 0, Broken, host)
 	if e.FailAge != never {
 		if at := now - clock.Millis(e.FailAge); at > t.failAt && at > t.okAt {
+			t.requestedAt = max(t.requestedAt, at)
 			t.recordFailure(at, max(int(e.SuccessesNeeded), 1))
 		}
 	}
@@ -237,7 +238,10 @@
 		if at := now - clock.Millis(e.OKAge); at > t.okAt+ageTolerance && at > t.failAt+ageTolerance {
 			t.okAt = at
 			if t.successesNeeded > 0 {
+				// It may be a passed health check.
 				t.successesNeeded--
+			} else {
+				t.requestedAt = max(t.requestedAt, at)
 			}
 		}
 	}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -89,6 +89,8 @@
 	// did.
 	InFlight      int
 	SinceAccepted clock.Millis
+	// Unused is set if the target was chosen because it had got no requests.
+	Unused *UnusedTarget
 }
 
 // maxQueuedAtTarget is the number of requests beyond its slots up to which a
@@ -251,11 +253,15 @@
 	if a.Idempotent && a.Retryable {
 		p.probeRequestAt, p.hasProbes = now, true
 	}
-	t, _ := p.choose(now, a)
+	t, why := p.choose(now, a)
 	if t == nil {
 		return Choice{}, false
 	}
 	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Born: t.Born, Version: t.Version, Cold: t.cold(now), Probe: t.successesNeeded > 0, Owned: t.owned, InFlight: t.totalInFlight(now), SinceAccepted: now - t.lastAcceptedAt(now)}
+	if why == unusedLongest {
+		t.trying = true
+		c.Unused = &UnusedTarget{Idle: timeSince(now, t.requestedAt), Unserved: p.UnservedShare(now)}
+	}
 	t.inFlight++
 	t.changed = true
 	t.start(now)
@@ -266,15 +272,27 @@
 	return c, true
 }
 
-// choose returns the target for a request, nil if there is none, and whether it is
-// chosen because its observation is the oldest one.
-func (p *Pool) choose(now clock.Millis, a Request) (t *target, oldest bool) {
+// criterion is what a target is chosen by, as operators see it.
+type criterion string
+
+const (
+	unusedLongest     criterion = "unused"
+	oldestObservation criterion = "oldestObservation"
+	lowestCost        criterion = "lowestCost"
+)
+
+// choose returns the target for a request, nil if there is none, and what it is
+// chosen by.
+func (p *Pool) choose(now clock.Millis, a Request) (*target, criterion) {
+	if t := p.unused(now, a); t != nil {
+		return t, unusedLongest
+	}
 	if a.Idempotent && a.Retryable {
-		if t = p.probe(now, a); t != nil {
-			return t, true
+		if t := p.probe(now, a); t != nil {
+			return t, oldestObservation
 		}
 	}
-	return p.cheapest(now, a), false
+	return p.cheapest(now, a), lowestCost
 }
 
 // probe returns the target to be probed by a request that can be sent again, nil
--- a/balance/target.go
+++ b/balance/target.go
@@ -52,6 +52,10 @@
 	healthChangedAt clock.Millis
 	// probing is true while a request probes the unhealthy target.
 	probing bool
+	// requestedAt is when the last request was sent by any host, as far as this host
+	// knows, trying true while a request tries the target because it was unused.
+	requestedAt clock.Millis
+	trying      bool
 	// checking is true while this host checks the unhealthy target; the last check
 	// began at checkedAt. failedTrials counts the failures of requests that were
 	// sent to it since it became unhealthy.
@@ -114,8 +118,11 @@
 }
 
 // setPeerInFlight sets the number of requests in flight that another host reported, and
-// forgets old numbers.
+// forgets old numbers. A larger number than before shows a new request.
 func (t *target) setPeerInFlight(now clock.Millis, host string, n int) {
+	if c := t.peerInFlight[host]; n > c.n || n > 0 && now-c.at > peerMaxAge {
+		t.requestedAt = now
+	}
 	t.peerInFlight[host] = peerCount{n, now}
 	for h, c := range t.peerInFlight {
 		if now-c.at > peerMaxAge {
@@ -142,6 +149,7 @@
 		k++
 	}
 	t.starts = append(t.starts[k:], now)
+	t.requestedAt = now
 }
 
 // startedLastSecond returns the number of requests that this host sent to the
--- /dev/null
+++ b/balance/unused.go
@@ -0,0 +1,70 @@
+package balance
+
+import (
+	"slices"
+
+	"github.com/carawayrack/carawayrack/clock"
+)
+
+const (
+	// manyUnserved is the share of unserved requests from which on unused targets are
+	// tried: half of the tenth from which on 0.7 of the healthy targets must be in use.
+	manyUnserved = 0.05
+	// unusedAfter is the time without a request after which a target counts as unused.
+	// Deployments require requests at most of the healthy targets within 2 s; the
+	// other second is for the next request of the owner to arrive.
+	unusedAfter = 1 * clock.Second
+	// unusedStagger is the additional time for each further owner: the first one may
+	// have died or may get no requests, and in services with few targets a host gets
+	// less than one request a second. It is ten times the delay of observations
+	// between owners, so that a target rarely gets two such requests at once.
+	unusedStagger = 200 * clock.Millis(1)
+	// unusedOwners is the number of owners that try unused targets. The last of them
+	// begins after 1.8 s, so that its request is in time for the requirement.
+	unusedOwners = 5
+)
+
+// UnusedTarget says why a target was chosen that had got no requests for a while.
+type UnusedTarget struct {
+	// Idle is the time since the last known request, -1 if none is known.
+	Idle clock.Millis
+	// Unserved is the share of unserved requests on which the choice is based.
+	Unserved UnservedShare
+}
+
+// unused returns the target that has been without requests for longest and must be
+// tried by a request of this host, nil if there is none. While many requests are not
+// served, the targets in use may be the worse ones, so that requests that must not be
+// repeated try unused targets as well. Targets whose health checks have not passed are
+// left out. Retries and hedges try none: a request of theirs has failed already.
+func (p *Pool) unused(now clock.Millis, a Request) *target {
+	if a.Repeated || !p.listed || !p.UnservedShare(now).many() {
+		return nil
+	}
+	var best *target
+	for _, t := range p.order {
+		if !p.unusedDue(now, t) || !p.usable(now, t, a) || t.totalInFlight(now) >= t.slots() {
+			continue
+		}
+		if best == nil || t.requestedAt < best.requestedAt {
+			best = t
+		}
+	}
+	return best
+}
+
+// unusedDue reports whether this host should try a target because it is unused.
+func (p *Pool) unusedDue(now clock.Millis, t *target) bool {
+	rank := slices.Index(t.owners[:min(len(t.owners), unusedOwners)], p.Self)
+	if rank < 0 || t.trying || now-t.requestedAt < unusedAfter+clock.Millis(rank)*unusedStagger {
+		return false
+	}
+	if t.successesNeeded > 0 && (t.probing || now < t.probeAt) {
+		return false
+	}
+	return t.successesNeeded <= checkedSuccessesNeeded
+}
+
+// many reports whether so many requests are not served, or so little is known of
+// them, that unused targets must be tried.
+func (s UnservedShare) many() bool { return !s.Known || s.Share >= manyUnserved }
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -83,6 +83,7 @@
 // tried.
 func (a *attempt) execute() (x *refusal, retryable bool) {
 	c := a.call
+	c.logUnusedTarget(a.choice)
 	a.exchange = &forward.Exchange{
 		Pool: c.host.targetConns, Addr: a.choice.Addr, Request: c.outgoingRequest(a.choice.ID),
 		Once: !c.idempotent(), Deadline: c.netDeadline(c.deadline + responseMargin),
--- a/edge/host.go
+++ b/edge/host.go
@@ -38,9 +38,11 @@
 	control *controlClient
 	gossip  *gossip
 	// poison detects requests that crash their targets.
-	poison      *poisonDetector
-	hedger      hedger
-	targetConns *forward.Pool
+	poison *poisonDetector
+	hedger hedger
+	// unusedTargetLines limits log lines.
+	unusedTargetLines lineLimit
+	targetConns       *forward.Pool
 	// requestBuffers and responseBuffers bound the memory for bodies.
 	requestBuffers, responseBuffers *bodyBudget
 	sizes                           responseSizes
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -20,8 +20,9 @@
 	hedges, hedgeShare *expvar.Map
 	// checks counts health checks by service and result.
 	checks *expvar.Map
-	// requestsEnded counts requests by service and whether they were served.
-	requestsEnded *expvar.Map
+	// requestsEnded counts requests by service and whether they were served,
+	// unusedTargets those that tried an unused target.
+	requestsEnded, unusedTargets *expvar.Map
 	// bytes counts bytes sent: observations as nearEvidence (within the local
 	// zone) and farEvidence (to other zones), the buffered parts of request
 	// bodies as nearBodies and farBodies.
@@ -33,13 +34,14 @@
 }
 
 func newMetrics() *metrics {
-	m := &metrics{responses: new(expvar.Map), refusals: new(expvar.Map), attempts: new(expvar.Map), checks: new(expvar.Map), requestsEnded: new(expvar.Map), notices: new(expvar.Map), hedges: new(expvar.Map), hedgeShare: new(expvar.Map), bytes: new(expvar.Map), streams: new(expvar.Map)}
+	m := &metrics{responses: new(expvar.Map), refusals: new(expvar.Map), attempts: new(expvar.Map), checks: new(expvar.Map), requestsEnded: new(expvar.Map), unusedTargets: new(expvar.Map), notices: new(expvar.Map), hedges: new(expvar.Map), hedgeShare: new(expvar.Map), bytes: new(expvar.Map), streams: new(expvar.Map)}
 	if expvar.Get("answers") == nil {
 		expvar.Publish("answers", m.responses)
 		expvar.Publish("refusals", m.refusals)
 		expvar.Publish("attempts", m.attempts)
 		expvar.Publish("checks", m.checks)
 		expvar.Publish("requestsEnded", m.requestsEnded)
+		expvar.Publish("unusedTargets", m.unusedTargets)
 		expvar.Publish("notices", m.notices)
 		expvar.Publish("hedges", m.hedges)
 		expvar.Publish("hedgeShare", m.hedgeShare)
--- a/edge/outcomes_test.go
+++ b/edge/outcomes_test.go
@@ -7,6 +7,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
@@ -83,4 +86,21 @@
 		Expect([]int{u.Ended, u.Unserved}).To(Equal([]int{2, 1}))
 		Expect(count(w.host.metrics.requestsEnded, "s.served") + count(w.host.metrics.requestsEnded, "s.unserved")).To(Equal("11"))
 	})
+
+	It("makes the next one try an unused target if it was not served", func() {
+		a, b := newStandin("t1", status(404, "")), newStandin("t2", status(404, ""))
+		w := newTestHost()
+		logged, lines := observer.New(zapcore.InfoLevel)
+		w.host.Log, w.host.view.self = zap.New(logged), "h"
+		w.set(a, b)
+		w.host.view.setFleet(&coordinator.Fleet{Hosts: []coordinator.Host{{ID: "h", Zone: "z", Narrow: true}}})
+		Expect(w.post("/unsafe/x", "").status).To(Equal(404))
+		w.host.view.countOutcome(w.host.Clock.Now(), "s", false)
+		Expect(w.post("/unsafe/x", "").status).To(Equal(404))
+		Expect([]int{a.requests(), b.requests()}).To(Equal([]int{1, 1}))
+		l := lines.FilterMessage("unused target").All()
+		Expect(l).To(HaveLen(1))
+		Expect(l[0].ContextMap()).To(And(HaveKeyWithValue("request", "r1"), HaveKeyWithValue("unservedShare", 0.5), HaveKeyWithValue("idleMs", int64(-1))))
+		Expect(count(w.host.metrics.unusedTargets, "s")).To(Equal("1"))
+	})
 })
