--- a/edge/host.go
+++ b/edge/host.go
@@ -44,9 +44,11 @@
 	control *controlplane.Client
 	gossip  *gossip
 	// poison detects requests that crash their targets.
-	poison      *poison.Detector
-	hedger      hedger
-	targetConns *forward.Pool
+	poison *poison.Detector
+	hedger hedger
+	// unusedTargetLines limits log lines.
+	unusedTargetLines lineLimit
+	targetConns       *forward.Pool
 	// requestBuffers and responseBuffers bound the memory for bodies.
 	requestBuffers, responseBuffers *buffer.Budget
 	sizes                           responseSizes
@@ -305,6 +307,7 @@
 		x.status, x.retryAfter = http.StatusBadGateway, 0
 	}
 	c.host.metrics.refusals.Add(string(x.reason), 1)
+	c.countRefusal(x)
 	name, account := "", ""
 	if c.route != nil {
 		name = c.route.Name
@@ -333,6 +336,7 @@
 
 // countResponse counts a response of a target that is sent to the caller.
 func (c *call) countResponse(a *attempt) {
+	c.countEnd(a.response.StatusCode < http.StatusInternalServerError)
 	c.host.metrics.latency.Record(c.kind()+".answered", c.host.Clock.Now()-c.start)
 	c.host.metrics.responses.Add(c.service+"."+strconv.Itoa(a.response.StatusCode/100), 1)
 }
