Close connections that a server has accepted just before it was closed

Cause: a session listed its connection in a goroutine of its own. A connection whose goroutine ran after Close stayed open and was served on. Its peer keeps using it, since heartbeats are answered, and what it sends reaches a process that has stopped. A process of the same address that starts later in the same program, as in the specs of the coordinator, would never hear of the leader. A program that ends closes its connections anyway.

Change: Close marks the server as closed; a session that begins later ends.

--- a/wire/server.go
+++ b/wire/server.go
@@ -35,10 +35,11 @@
 	Secret string
 	Log    *zap.Logger
 
-	rpc   *rpc.Server
-	ln    net.Listener
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	rpc    *rpc.Server
+	ln     net.Listener
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	closed bool
 }
 
 // Register makes the methods of v callable under name. It must be called before
@@ -86,11 +87,22 @@
 	_ = s.ln.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for c := range s.conns {
 		_ = c.Close()
 	}
 }
 
+// add adds a connection to those that Close closes. It returns false after Close.
+func (s *Server) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.conns[c] = true
+	}
+	return !s.closed
+}
+
 // session is one accepted connection.
 type session struct {
 	server *Server
@@ -99,10 +111,10 @@
 
 func (x *session) run() {
 	server := x.server
-	server.mu.Lock()
-	server.conns[x.conn] = true
-	server.mu.Unlock()
 	defer x.close()
+	if !server.add(x.conn) {
+		return
+	}
 	got := make([]byte, secretSize)
 	_ = x.conn.SetReadDeadline(time.Now().Add(secretTimeout.Duration()))
 	if _, err := io.ReadFull(x.conn, got); err != nil {
