Wait briefly for a leader before an announcement is refused

Cause: a control process that knew no leader refused an announcement at once. The target then called the next process, so that one announcement caused as many failed calls as there are processes without a leader: until the first election, and at a process that was not admitted yet, although its reports had told it the leader.

Change: a change of announcements waits up to 0.4 s for a leader to be known, which leaves targets time to call another process within their 1 s. A process that is no member yet proposes to the leader that it last reported to.

The spec fails without the wait. Proposing as a process that is no member has no spec.

--- a/coordinator/announcer.go
+++ b/coordinator/announcer.go
@@ -17,6 +17,11 @@
 	// changeWait is the time after which the next change is proposed although the last
 	// one is in progress: its leader may be lost.
 	changeWait = 250 * clock.Millis(1)
+	// leaderWait is how long a change waits for a leader to be known. Targets call the
+	// next process at once after a refusal, all of which refuse until one leads. It
+	// leaves more than half of the 1 s in which a target may reach another process.
+	leaderWait      = 400 * clock.Millis(1)
+	leaderRetryTime = 25 * clock.Millis(1)
 )
 
 // announcer groups announcements into changes: those that arrive while a change is in
@@ -115,6 +120,11 @@
 		c.Targets = append(c.Targets, w.target)
 	}
 	err := b.announcer.Submit(c)
+	var u Unavailable
+	for end := time.Now().Add(leaderWait.Duration()); errors.As(err, &u) && u.NotProposed && time.Now().Before(end); {
+		time.Sleep(leaderRetryTime.Duration())
+		err = b.announcer.Submit(c)
+	}
 	for _, w := range b.waiting {
 		w.done <- err
 	}
--- a/coordinator/announcer_test.go
+++ b/coordinator/announcer_test.go
@@ -34,7 +34,7 @@
 		return len(a.waiting)
 	}
 	BeforeEach(func() {
-		changes, outcome, results = make(chan catalog.Change, 9), make(chan error), make(chan error, 500)
+		changes, outcome, results = make(chan catalog.Change, 9), make(chan error, 9), make(chan error, 500)
 		stopped := make(chan struct{})
 		submitted, results := changes, outcome
 		a = &announcer{Stopped: stopped, Submit: func(c catalog.Change) error { submitted <- c; return <-results }}
@@ -58,6 +58,15 @@
 		}
 	})
 
+	// Guards against targets that call one process after the other, all of which refuse,
+	// while the processes elect a leader.
+	It("wait for a leader to be known for a while", func() {
+		announce(1)
+		outcome <- Unavailable{Cause: "none", NotProposed: true}
+		outcome <- nil
+		Eventually(results, waitTimeout).Should(Receive(BeNil()))
+	})
+
 	// Guards against announcements that wait for the time limit of a call to a lost
 	// leader although there is a new one.
 	It("do not wait for a change without an outcome", func() {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -45,7 +45,10 @@
 	// processes reported them. A process that joins needs them before it has
 	// the membership.
 	leaderAddrs sync.Map
-	stopped     chan struct{}
+	// joining holds the address of the leader that this process has reported to while
+	// it was no member, empty once it is one.
+	joining atomic.Value
+	stopped chan struct{}
 	// failed holds the error for which the replica must restart.
 	failed chan error
 	// leaving is true while the process stops. It then reports no more, since the
@@ -316,12 +319,18 @@
 	}
 	if !m.Reply.Led && m.Reply.Leader != "" && m.Reply.Leader != addr && m.Reply.Leader != c.Settings.Peer {
 		m.SentAt = c.clock.Now()
-		l := m.Reply.Leader
+		addr = m.Reply.Leader
 		m.Reply = ReportReply{}
-		if err := c.pool.Get(l).Call("Peer.Report", a, &m.Reply, callTimeout); err != nil {
+		if err := c.pool.Get(addr).Call("Peer.Report", a, &m.Reply, callTimeout); err != nil {
 			return false
 		}
 	}
+	if m.Reply.Led && m.Reply.Member {
+		addr = ""
+	}
+	if m.Reply.Led {
+		c.joining.Store(addr)
+	}
 	c.actors.Root.Send(c.replicaPID(), m)
 	if m.Reply.Led && !m.Reply.Proven {
 		time.AfterFunc(proofRetryDelay.Duration(), c.reportNow)
--- a/coordinator/operations.go
+++ b/coordinator/operations.go
@@ -9,7 +9,12 @@
 
 // Unavailable is the error of a request that could not be decided. Its outcome
 // is unknown and it may be sent again.
-type Unavailable struct{ Cause string }
+type Unavailable struct {
+	Cause string
+	// NotProposed is true if the request certainly has no effect, since no leader was
+	// known.
+	NotProposed bool
+}
 
 // Error returns the cause.
 func (e Unavailable) Error() string { return "unavailable: " + e.Cause }
@@ -35,8 +40,12 @@
 	if p.Accepted {
 		return outcome(x, p)
 	}
+	if p.Leader == "" {
+		// A process that is no member yet only knows the leader from reports.
+		p.Leader, _ = c.joining.Load().(string)
+	}
 	if p.Leader == "" || p.Leader == c.Settings.Peer {
-		return Unavailable{Cause: "no leader is known"}
+		return Unavailable{Cause: "no leader is known", NotProposed: true}
 	}
 	var r ProposeReply
 	if err := c.pool.Get(p.Leader).Call("Peer.Propose", ProposeArgs{b}, &r, requestTimeout); err != nil {
