Find targets by their address with an index

Cause: each announcement of a serving target went through all targets to find those at its address, when it was applied at each control process and host, and, before the first configuration, in every call with an announcement, also those that change nothing.

Change: the state keeps the IDs of the targets at each address. The order in which they are found has no effect.

With a configuration only the application of announcements gains.

--- a/catalog/state.go
+++ b/catalog/state.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,10 @@
 	// configStale is true if Apply has changed Document since the last
 	// UpdateConfig.
 	configStale bool
+	// byAddr holds the IDs of the targets at each address, indexed the number of
+	// targets in it. It is made anew if Targets was changed in another way than by put.
+	byAddr  map[string][]string
+	indexed int
 }
 
 // pruneAbove is the number of targets above which the state drops half of those
@@ -163,8 +168,9 @@
 		t.Phase = Gone
 	}
 	if t.Phase == Serving && !t.Unlisted {
-		for id, o := range s.Targets {
-			if o.Addr != t.Addr || id == t.ID || o.Phase == Gone || o.Unlisted {
+		for _, id := range s.targetsAt(t.Addr) {
+			o := s.Targets[id]
+			if id == t.ID || o.Phase == Gone || o.Unlisted {
 				continue
 			}
 			if o.Born > t.Born {
@@ -175,12 +181,42 @@
 			s.Targets[id] = o
 		}
 	}
+	s.index(t)
 	s.Targets[t.ID] = t
 	if t.Phase == Gone {
 		s.prune()
 	}
 }
 
+// targetsAt returns the IDs of the targets at an address.
+func (s *State) targetsAt(addr string) []string {
+	if s.byAddr == nil || s.indexed != len(s.Targets) {
+		s.byAddr, s.indexed = map[string][]string{}, len(s.Targets)
+		for id, t := range s.Targets {
+			s.byAddr[t.Addr] = append(s.byAddr[t.Addr], id)
+		}
+	}
+	return s.byAddr[addr]
+}
+
+// index puts t into byAddr, before it is put into Targets.
+func (s *State) index(t Target) {
+	l := s.targetsAt(t.Addr)
+	o, ok := s.Targets[t.ID]
+	if ok && o.Addr == t.Addr {
+		return
+	}
+	s.byAddr[t.Addr] = append(l, t.ID)
+	if !ok {
+		s.indexed++
+		return
+	}
+	old := slices.DeleteFunc(s.byAddr[o.Addr], func(id string) bool { return id == t.ID })
+	if s.byAddr[o.Addr] = old; len(old) == 0 {
+		delete(s.byAddr, o.Addr)
+	}
+}
+
 // contradicts reports whether t names another, unlisted service than a listed
 // target with the same ID. Its sender is not that target.
 func (t Target) contradicts(o Target) bool {
@@ -194,8 +230,8 @@
 	if s.Config != nil {
 		return s.Config.Service(t.Service) != nil
 	}
-	for id, o := range s.Targets {
-		if o.Phase != Gone && o.Service != t.Service && (id == t.ID || o.Addr == t.Addr) {
+	for _, id := range append([]string{t.ID}, s.targetsAt(t.Addr)...) {
+		if o, ok := s.Targets[id]; ok && o.Phase != Gone && o.Service != t.Service {
 			return false
 		}
 	}
@@ -234,6 +270,7 @@
 	for _, t := range l[:len(l)/2] {
 		delete(s.Targets, t.ID)
 	}
+	s.byAddr = nil
 }
 
 // NeedsChange reports whether an announcement must be proposed as a change. It
