Share the targets of a zone among its control processes

Cause: the response to an announcement named the first control process of the target's zone. Targets that had called a process of another zone all went to that one. As long as it was lost but still listed (2.5 s after its last report, or for the whole time that only targets cannot reach it), each of them called it in vain with every other announcement: the process that served it in its place named the lost one again.

Change: the process is chosen by the target's ID and the number of the announcement, so that the next announcement leads to another one.

The share of failed calls was not measured on a whole fleet.

--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"sort"
 
+	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 )
 
@@ -183,18 +184,26 @@
 	t.lastFleet = f
 }
 
-// coreIn returns the address of a control process in a zone, preferably of this
-// one. It is empty if there is none.
-func (t *fleetTable) coreIn(zone string) string {
-	if zone == t.Settings.Zone {
+// coreFor returns the address of a control process in a target's zone, preferably of
+// this one. It is empty if there is none. Several ones share the targets of their zone,
+// and the next announcement of a target leads to another one: a target that announces
+// itself here after a failed call is not sent to the same process again and again.
+func (t *fleetTable) coreFor(x catalog.Target) string {
+	if x.Zone == t.Settings.Zone {
 		return t.Settings.Peer
 	}
+	var l []string
 	for _, c := range t.lastFleet.Cores {
-		if c.Zone == zone {
-			return c.Addr
+		if c.Zone == x.Zone {
+			l = append(l, c.Addr)
 		}
 	}
-	return ""
+	if len(l) == 0 {
+		return ""
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(x.ID))
+	return l[(h.Sum64()%uint64(len(l))+x.Number)%uint64(len(l))]
 }
 
 // hostsPerZone is the number of hosts of a zone that callers are sent to. With
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -184,7 +184,7 @@
 func (r *Replica) handleAnnouncement(t catalog.Target) announcementReply {
 	t.Unlisted = !r.state.Lists(t)
 	return announcementReply{
-		NeedsChange: r.state.NeedsChange(t), Unlisted: t.Unlisted, Known: r.state.Targets[t.ID], Core: r.fleet.coreIn(t.Zone),
+		NeedsChange: r.state.NeedsChange(t), Unlisted: t.Unlisted, Known: r.state.Targets[t.ID], Core: r.fleet.coreFor(t),
 	}
 }
 
