Check many announcements over loopback with a configuration between them

A spec of package coordinator has 300 targets that announce themselves at the same time to three control processes, while an operator sends a configuration: all are accepted, in fewer changes than targets. With a change for each announcement it fails with 301 changes.

--- a/coordinator/announcer_test.go
+++ b/coordinator/announcer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -11,12 +12,48 @@
 
 // announcing makes one announcement.
 type announcing struct {
-	a      *announcer
-	id     string
-	result chan error
+	announce func(catalog.Target) error
+	id       int
+	result   chan error
 }
 
-func (x *announcing) run() { x.result <- x.a.announce(testTarget(x.id, 1, 1)) }
+func (x *announcing) run() {
+	t := testTarget(fmt.Sprint(x.id), 1, 1)
+	t.Addr = fmt.Sprint("10.0.0.1:", 1+x.id)
+	x.result <- x.announce(t)
+}
+
+var _ = Describe("control processes to which many targets announce themselves", func() {
+	// Guards against announcements that are lost in a batch, and against a configuration
+	// that waits behind them.
+	It("accept all of them in fewer changes, and a configuration at the same time", func() {
+		const targets = 300
+		c := newCluster(3)
+		c.waitForVoters(3)
+		results := make(chan error, targets)
+		for k := 0; k < targets; k++ {
+			n := c.nodes[k%3]
+			x := &announcing{func(t catalog.Target) error {
+				_, err := n.Announce(t)
+				// A target announces itself again after a failure, such as a change of the leader.
+				for end := time.Now().Add(waitTimeout); err != nil && time.Now().Before(end); {
+					_, err = n.Announce(t)
+				}
+				return err
+			}, k, results}
+			go x.run()
+		}
+		c.configure(1, 7)
+		for k := 0; k < targets; k++ {
+			Eventually(results, waitTimeout).Should(Receive(BeNil()))
+		}
+		d, err := c.nodes[c.leader()].State()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Targets).To(HaveLen(targets))
+		Expect(d.Version).To(Equal(uint64(7)))
+		Expect(d.Sequence).To(BeNumerically("<", targets))
+	})
+})
 
 var _ = Describe("announcements that arrive while a change is in progress", func() {
 	var a *announcer
@@ -24,7 +61,7 @@
 	var outcome, results chan error
 	announce := func(n int) {
 		for k := 0; k < n; k++ {
-			x := &announcing{a, fmt.Sprint(k), results}
+			x := &announcing{a.announce, k, results}
 			go x.run()
 		}
 	}
