Pause after failures before unrepeatable requests are sent again

Three of ten targets reset 85 of 100 requests in episodes of some seconds while their health path passes. Requests that must not be repeated were sent to them as soon as their checks had passed, and were lost.

The pauses return for the time in which less than 5 % of the service's requests in the zone are not served. From 5 % on, and without counts of other hosts, there are none.

--- a/balance/explain.go
+++ b/balance/explain.go
@@ -53,8 +53,9 @@
 // Explain returns all targets as Pick would consider them for a request. It changes
 // nothing.
 func (p *Pool) Explain(now clock.Millis, a Request) []Candidate {
-	defer p.restore(p.anyHealthy, p.trials())
+	defer p.restore(p.anyHealthy, p.pausing, p.trials())
 	p.updateAnyHealthy()
+	p.updatePausing(now)
 	var best *target
 	var why criterion
 	for _, a.side = range p.sides(a) {
@@ -97,8 +98,8 @@
 }
 
 // restore undoes what choosing a target prepares.
-func (p *Pool) restore(anyHealthy bool, trials map[*target]bool) {
-	p.anyHealthy = anyHealthy
+func (p *Pool) restore(anyHealthy, pausing bool, trials map[*target]bool) {
+	p.anyHealthy, p.pausing = anyHealthy, pausing
 	for t, was := range trials {
 		t.trial = was
 	}
--- a/balance/unused_test.go
+++ b/balance/unused_test.go
@@ -31,7 +31,12 @@
 // zoneResult is the result of a load: the numbers of healthy targets and of those that
 // got a request, in each 2 s in which more than a tenth and less than half of all
 // requests were not served.
-type zoneResult struct{ healthy, used []int }
+type zoneResult struct {
+	healthy, used []int
+	// probes were sent to targets in an episode in which these had failed before, after
+	// the first 5 s, in which hosts have no counts. Refused requests found no target.
+	probes, refused int
+}
 
 // floorWindow is the time in which deployments require requests at enough healthy
 // targets; calmTime is how long a target must have been undisturbed to count.
@@ -40,10 +45,18 @@
 	calmTime    = 6 * clock.Second
 )
 
-func (l zoneLoad) inEpisode(now clock.Millis, id string) bool {
+// sinceEpisode returns the time since the last episode of a target began.
+func (l zoneLoad) sinceEpisode(now clock.Millis, id string) clock.Millis {
 	i, err := strconv.Atoi(id[1:])
 	Expect(err).NotTo(HaveOccurred())
-	return i < l.failing && (now+clock.Millis(i)*2700)%l.period < l.episode
+	if i >= l.failing {
+		return l.period
+	}
+	return (now + clock.Millis(i)*2700) % l.period
+}
+
+func (l zoneLoad) inEpisode(now clock.Millis, id string) bool {
+	return l.sinceEpisode(now, id) < l.episode
 }
 
 func (l zoneLoad) healthy(from, to clock.Millis, id string) bool {
@@ -110,10 +123,15 @@
 			c, ok := p.Pick(now, unsafe)
 			if !ok {
 				count(now, p, false)
+				res.refused++
 				continue
 			}
 			used[c.ID] = true
 			o := openRequest{p, c.ID, now, now + l.work, Served}
+			since := l.sinceEpisode(now, c.ID)
+			if c.Probe && since < l.episode && p.targets[c.ID].failAt > now-since && now > 5000 {
+				res.probes++
+			}
 			if l.inEpisode(now, c.ID) && r.Float64() < 0.85 {
 				o.end, o.outcome = now+5, Broken
 			}
@@ -164,6 +182,20 @@
 	}),
 )
 
+var _ = Describe("failure episodes", func() {
+	// Guards against requests that are lost to find out that a target still fails.
+	It("cost fewer than one probe in two while few requests are not served", func() {
+		const failing, periods = 11, 3
+		for seed := int64(1); seed <= 3; seed++ {
+			x := zoneLoad{
+				hosts: 24, targets: 36, failing: failing, episode: 15_000, period: 30_000, work: 460, rate: 77, counts: true, duration: periods * 30_000,
+			}.run(seed)
+			Expect(x.probes).To(BeNumerically("<", failing*periods/2.0), "seed %d", seed)
+			Expect(x.refused).To(BeZero())
+		}
+	})
+})
+
 var _ = Describe("an unused target", func() {
 	// a1 and a2 are equal to a request that must not be repeated, but a2 has got none.
 	unusedPool := func(served int) *Pool {
