Do not take reported health checks for successes of requests

An observation tells when a target last accepted something, not whether that was a request or a health check. An owner therefore lowered the successes that a target needs with each check that another owner reported, down to 0, although the last two must be those of requests. Up to three owners check a target, so that it soon got requests again in the middle of a failure episode.

A reported success now lowers the number to no less than what the reporting host itself still needs; that host does not go below two by checks.

The new spec fails without the change (0 successes needed instead of 2).

--- a/balance/health_check_test.go
+++ b/balance/health_check_test.go
@@ -44,6 +44,21 @@
 		Expect(p.targets["a1"].successesNeeded).To(BeZero())
 	})
 
+	// Guards against owners that take the passed checks of others for successes of
+	// requests.
+	It("that pass at several owners leave the last successes to requests at all of them", func() {
+		p, q := unhealthyPool(), unhealthyPool()
+		for now := clock.Millis(1200); now < 20_000; now += 1000 {
+			for _, c := range q.DueHealthChecks(now) {
+				q.CheckDone(c.ID, now, true)
+			}
+			q.targets["a1"].okAt = now
+			e, _ := q.ObservationOf(now, "a1")
+			p.Merge(now+10, "h2", e)
+		}
+		Expect(p.targets["a1"].successesNeeded).To(Equal(checkedSuccessesNeeded))
+	})
+
 	It("that fail change nothing", func() {
 		p := unhealthyPool()
 		for now := clock.Millis(1200); now < 9000; now += 1000 {
--- a/balance/observation.go
+++ b/balance/observation.go
@@ -238,8 +238,9 @@
 		if at := now - clock.Millis(e.OKAge); at > t.okAt+ageTolerance && at > t.failAt+ageTolerance {
 			t.okAt = at
 			if t.successesNeeded > 0 {
-				// It may be a passed health check.
-				t.successesNeeded--
+				// It may be a passed health check, which leaves the last successes to
+				// requests also at the host that sent it.
+				t.successesNeeded = max(t.successesNeeded-1, min(t.successesNeeded, int(e.SuccessesNeeded)))
 			} else {
 				t.requestedAt = max(t.requestedAt, at)
 			}
