--- a/balance/unused.go
+++ b/balance/unused.go
@@ -9,7 +9,7 @@
 const (
 	// manyUnserved is the share of unserved requests from which on unused targets are
 	// tried: half of the tenth from which on 0.7 of the healthy targets must be in use.
-	manyUnserved = 0.05
+	manyUnserved = 0.08
 	// unusedAfter is the time without a request after which a target counts as unused.
 	// Deployments require requests at most of the healthy targets within 2 s; the
 	// other second is for the next request of the owner to arrive.
