--- a/balance/unused_test.go
+++ b/balance/unused_test.go
@@ -13,19 +13,15 @@
 // zoneLoad is a load of requests that must not be repeated on the hosts of a zone, some
 // of whose targets reset 85 of 100 requests in episodes while their health checks pass.
 type zoneLoad struct {
-	hosts, targets int
-	// failing targets have an episode of the given length in each period.
-	failing         int
-	episode, period clock.Millis
-	work            clock.Millis
+	// failing targets have an episode in each period.
+	hosts, targets, failing int
+	episode, period, work   clock.Millis
 	// rate is in requests a second, lost the share of them that get no target.
 	rate, lost float64
-	// starting is the time in which the hosts start one after the other.
-	starting clock.Millis
-	// counts is false if the hosts do not send their counts to each other.
-	counts bool
-	// duration is the length of the simulation.
-	duration clock.Millis
+	// counts is false if the hosts do not send their counts to each other. The hosts
+	// start one after the other in the time starting.
+	counts             bool
+	starting, duration clock.Millis
 }
 
 // zoneResult is the result of a load: the numbers of healthy targets and of those that
@@ -38,30 +34,25 @@
 	probes, refused int
 }
 
-// floorWindow is the time in which deployments require requests at enough healthy
-// targets; calmTime is how long a target must have been undisturbed to count.
 const (
+	// floorWindow is the time in which deployments require requests at most of the
+	// targets that have been undisturbed for calmTime.
 	floorWindow = 2 * clock.Second
 	calmTime    = 6 * clock.Second
 )
 
-// sinceEpisode returns the time since the last episode of a target began.
-func (l zoneLoad) sinceEpisode(now clock.Millis, id string) clock.Millis {
+// sinceEpisode returns the time since the last episode of a target began, and whether it
+// lasts.
+func (l zoneLoad) sinceEpisode(now clock.Millis, id string) (clock.Millis, bool) {
 	i, err := strconv.Atoi(id[1:])
 	Expect(err).NotTo(HaveOccurred())
-	if i >= l.failing {
-		return l.period
-	}
-	return (now + clock.Millis(i)*2700) % l.period
-}
-
-func (l zoneLoad) inEpisode(now clock.Millis, id string) bool {
-	return l.sinceEpisode(now, id) < l.episode
+	since := (now + clock.Millis(i)*2700) % l.period
+	return since, i < l.failing && since < l.episode
 }
 
 func (l zoneLoad) healthy(from, to clock.Millis, id string) bool {
-	for at := from - calmTime; at < to; at += 100 {
-		if l.inEpisode(max(at, 0), id) {
+	for at := max(from-calmTime, 0); at < to; at += 100 {
+		if _, failing := l.sinceEpisode(at, id); failing {
 			return false
 		}
 	}
@@ -75,8 +66,7 @@
 	var res zoneResult
 	var open []openRequest
 	used := map[string]bool{}
-	ended, unserved := 0, 0
-	running := 0
+	ended, unserved, running := 0, 0, 0
 	count := func(now clock.Millis, p *Pool, served bool) {
 		p.CountOutcome(now, served)
 		ended++
@@ -96,11 +86,9 @@
 			for _, c := range z.pools[h].DueHealthChecks(now) {
 				z.pools[h].CheckDone(c.ID, now, true)
 			}
-			if l.counts && (now+clock.Millis(i*370))%1000 < 10 {
-				for _, o := range z.hosts[:running] {
-					if o != h {
-						z.pools[o].SetPeerOutcomes(now, h, z.pools[h].Outcomes(now), now)
-					}
+			for _, o := range z.hosts[:running] {
+				if l.counts && o != h && (now+clock.Millis(i*370))%1000 < 10 {
+					z.pools[o].SetPeerOutcomes(now, h, z.pools[h].Outcomes(now), now)
 				}
 			}
 		}
@@ -128,11 +116,11 @@
 			}
 			used[c.ID] = true
 			o := openRequest{p, c.ID, now, now + l.work, Served}
-			since := l.sinceEpisode(now, c.ID)
-			if c.Probe && since < l.episode && p.targets[c.ID].failAt > now-since && now > 5000 {
+			since, failing := l.sinceEpisode(now, c.ID)
+			if c.Probe && failing && p.targets[c.ID].failAt > now-since && now > 5000 {
 				res.probes++
 			}
-			if l.inEpisode(now, c.ID) && r.Float64() < 0.85 {
+			if failing && r.Float64() < 0.85 {
 				o.end, o.outcome = now+5, Broken
 			}
 			open = append(open, o)
@@ -168,18 +156,10 @@
 			}
 		}
 	},
-	Entry("are few of 40 after a restart of all hosts", zoneLoad{
-		hosts: 20, targets: 40, failing: 12, episode: 4000, period: 9000, work: 330, rate: 100, lost: 0.13, starting: 2000, counts: true, duration: 30_000,
-	}),
-	Entry("are few of 6 targets of a service with many hosts", zoneLoad{
-		hosts: 20, targets: 6, failing: 2, episode: 4000, period: 15_000, work: 330, rate: 20, lost: 0.13, counts: true, duration: 60_000,
-	}),
-	Entry("are few of 7 targets of a service with three hosts", zoneLoad{
-		hosts: 3, targets: 7, failing: 2, episode: 4000, period: 15_000, work: 330, rate: 20, lost: 0.13, counts: true, duration: 60_000,
-	}),
-	Entry("are few if hosts have no counts of each other", zoneLoad{
-		hosts: 20, targets: 40, failing: 12, episode: 4000, period: 9000, work: 330, rate: 100, lost: 0.13, duration: 30_000,
-	}),
+	Entry("are few of 40 after a restart of all hosts", zoneLoad{hosts: 20, targets: 40, failing: 12, episode: 4000, period: 9000, work: 330, rate: 100, lost: 0.13, starting: 2000, counts: true, duration: 30_000}),
+	Entry("are few of 6 targets of a service with many hosts", zoneLoad{hosts: 20, targets: 6, failing: 2, episode: 4000, period: 15_000, work: 330, rate: 20, lost: 0.13, counts: true, duration: 60_000}),
+	Entry("are few of 7 targets of a service with three hosts", zoneLoad{hosts: 3, targets: 7, failing: 2, episode: 4000, period: 15_000, work: 330, rate: 20, lost: 0.13, counts: true, duration: 60_000}),
+	Entry("are few if hosts have no counts of each other", zoneLoad{hosts: 20, targets: 40, failing: 12, episode: 4000, period: 9000, work: 330, rate: 100, lost: 0.13, duration: 30_000}),
 )
 
 var _ = Describe("failure episodes", func() {
@@ -187,9 +167,7 @@
 	It("cost fewer than one probe in two while few requests are not served", func() {
 		const failing, periods = 11, 3
 		for seed := int64(1); seed <= 3; seed++ {
-			x := zoneLoad{
-				hosts: 24, targets: 36, failing: failing, episode: 15_000, period: 30_000, work: 460, rate: 77, counts: true, duration: periods * 30_000,
-			}.run(seed)
+			x := zoneLoad{hosts: 24, targets: 36, failing: failing, episode: 15_000, period: 30_000, work: 460, rate: 77, counts: true, duration: periods * 30_000}.run(seed)
 			Expect(x.probes).To(BeNumerically("<", failing*periods/2.0), "seed %d", seed)
 			Expect(x.refused).To(BeZero())
 		}
--- a/edge/outcomes_test.go
+++ b/edge/outcomes_test.go
@@ -53,12 +53,12 @@
 			Expect(x.Ended).To(BeNumerically(">=", 19*x.Hosts))
 			Expect(x.Share).To(BeNumerically("~", 0.5, 0.03))
 			Expect(g.view.pools["s0"].UnservedShare(f.now).Known).To(BeTrue())
-			digest := 0
+			digest, header := 0, datagramHeader+tagSize+2+len(g.settings.ID)
 			if k := len(g.view.firstOwned(f.now)); hosts > balance.SmallZoneHosts && k > 0 {
-				digest = (hosts - 1) * (datagramHeader + tagSize + 2 + len(g.settings.ID) + k*balance.ObservationSize)
+				digest = (hosts - 1) * (header + k*balance.ObservationSize)
 			}
 			// What was saved before is at most one datagram to each host.
-			saved := (hosts - 1) * (datagramHeader + tagSize + 2 + len(g.settings.ID) + balance.ObservationSize)
+			saved := (hosts - 1) * (header + balance.ObservationSize)
 			Expect(f.sent[g.settings.ID] - seconds*digest).To(BeNumerically("<=", seconds*1_000+saved))
 		}
 	},
