--- a/balance/unused.go
+++ b/balance/unused.go
@@ -8,8 +8,10 @@
 
 const (
 	// manyUnserved is the share of unserved requests from which on unused targets are
-	// tried: half of the tenth from which on 0.7 of the healthy targets must be in use.
-	manyUnserved = 0.05
+	// tried. Deployments require 0.7 of the healthy targets in use from a tenth on. With
+	// 0.05 it was reached on calm days, when requests that must not be repeated found
+	// failing targets more often (slot-booking, docs/ROUNDS.md).
+	manyUnserved = 0.08
 	// unusedAfter is the time without a request after which a target counts as unused.
 	// Deployments require requests at most of the healthy targets within 2 s; the
 	// other second is for the next request of the owner to arrive.
@@ -68,3 +70,7 @@
 // many reports whether so many requests are not served, or so little is known of
 // them, that unused targets must be tried.
 func (s UnservedShare) many() bool { return !s.Known || s.Share >= manyUnserved }
+
+// updatePausing updates whether requests pause after failures. While many are not
+// served they do not, since the targets in use may be no better.
+func (p *Pool) updatePausing(now clock.Millis) { p.pausing = !p.UnservedShare(now).many() }
