Cover large bodies, early responses, misbehaving callers and roll-outs in the soak

Cause: the soak did not cover the most recently added parts.

Change, for seeds from 1000 on; lower seeds inject the same faults as before: - callers of a route of kind download whose responses have 300 KiB to 2.3 MiB; one in four reads slowly, one in four stops after 256 KiB; - uploads of that size, to four in ten of which targets respond before they have read the body (a whole response, two cut ones, status 000) and reset the connection; - callers that stop an upload before its last byte, and callers that send 12 requests without reading; - every third seed a roll-out to five targets of another version, which must end. A part of a response or of an upload that looks complete is reported, as is a status outside 200 to 599. For all seeds a process that ends without being told to is reported. Responses of targets have a length, since the fault proxy may drop a part of a stream; it also passes a reset on as a regular end, so that responses without length are left to the specs of package edge.

--- a/lab/soak_test.go
+++ b/lab/soak_test.go
@@ -19,6 +19,7 @@
 		Expect(r.Violations).To(BeEmpty(), "faults: %v", r.Faults)
 	},
 	Entry("first seed", int64(1), 6*time.Second),
+	Entry("large bodies, early responses, misbehaving callers and a roll-out", int64(1002), 6*time.Second),
 	Entry("quota: a new leader lent a second full burst because it had not applied the configuration yet",
 		int64(6), 10*time.Second),
 )
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"math/rand"
 	"net/http"
-	"strings"
+	"net/url"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +35,8 @@
 	directory []string
 	// keys returns the keys to send requests with; some may be withdrawn.
 	keys func() []string
+	// extended is true for a caller that makes the requests of extended seeds.
+	extended bool
 	// sent counts the requests sent, served the complete responses with status
 	// 200.
 	served, sent atomic.Int64
@@ -59,7 +63,11 @@
 			continue
 		}
 		k := c.keys()
-		c.call(r, fmt.Sprintf("%s-%d", c.name, n), k[r.Intn(len(k))])
+		call := c.call
+		if c.extended {
+			call = c.callExtended
+		}
+		call(r, fmt.Sprintf("%s-%d", c.name, n), k[r.Intn(len(k))])
 	}
 }
 
@@ -77,29 +85,15 @@
 }
 
 func (c *caller) call(r *rand.Rand, id, key string) {
-	unsafe := r.Intn(2) == 0
-	method, path, body := http.MethodGet, safePath, ""
-	if unsafe {
-		method, path, body = http.MethodPost, unsafePath, "order "+id
+	path, body := safePath, ""
+	if r.Intn(2) == 0 {
+		path, body = unsafePath, "order "+id
 	}
 	x, stop := context.WithTimeout(context.Background(), callTimeout)
 	defer stop()
-	addr := c.addresses[r.Intn(len(c.addresses))]
-	u := "http://" + addr + path + id
-	q, err := http.NewRequestWithContext(x, method, u, strings.NewReader(body))
-	if err != nil {
-		c.ledger.violate("soak", "%v", err)
-		return
-	}
-	h := platform.Headers()
-	q.Host = host
-	// Without GetBody, net/http can't retry a POST request by itself.
-	q.GetBody = nil
-	q.Header.Set(h.RequestID, id)
-	q.Header.Set(h.Key, key)
-	q.Header.Set(h.Deadline, fmt.Sprint(callTimeout.Milliseconds()))
-	c.ledger.send(id, addr, unsafe, key)
+	q := c.request(c.addresses[r.Intn(len(c.addresses))], path, id, key, []byte(body), callTimeout).WithContext(x)
 	c.sent.Add(1)
+	h := platform.Headers()
 	a, err := c.http.Do(q)
 	if err != nil {
 		return
@@ -121,3 +115,19 @@
 		c.ledger.violate("answer", "request %s got the response %q", id, b)
 	}
 }
+
+// request records and returns a request. It has no GetBody, so that net/http can't send
+// it again by itself.
+func (c *caller) request(addr, path, id, key string, body []byte, timeout time.Duration) *http.Request {
+	h := platform.Headers()
+	q := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: addr, Path: path + id}, Host: host, Header: http.Header{}}
+	if len(body) > 0 {
+		q.Method, q.Body, q.ContentLength = http.MethodPost, io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	}
+	q.Header.Set(h.RequestID, id)
+	q.Header.Set(h.Key, key)
+	q.Header.Set(h.Deadline, fmt.Sprint(timeout.Milliseconds()))
+	q.Header.Set(sizeHeader, strconv.Itoa(len(body)))
+	c.ledger.send(id, addr, len(body) > 0, key)
+	return q
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -198,9 +198,9 @@
 	return s.targets[k%len(s.targets)]
 }
 
-// replaceTarget starts a target and makes another one leave.
+// replaceTarget starts a target and makes another one of its version leave.
 func (s *Soak) replaceTarget(k int, _ time.Duration) {
-	if err := s.addTarget(); err != nil {
+	if err := s.addTarget(s.anyTarget(k).spec.Version); err != nil {
 		s.ledger.violate("soak", "%v", err)
 		return
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -22,6 +22,8 @@
 	// Binary is the path of the carawayrack program, Dir the folder of logs and
 	// settings.
 	Binary, Dir string
+	// Violate records that the program has ended without being told to.
+	Violate func(promise, form string, args ...any)
 
 	// busy is held by the fault that disturbs the process.
 	busy sync.Mutex
@@ -29,6 +31,8 @@
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
+	// stopping is true once the program was told to end.
+	stopping bool
 }
 
 // stopWithin bounds a planned stop. It is longer than gracePeriodS of the
@@ -57,7 +61,7 @@
 	if err := p.cmd.Start(); err != nil {
 		return errors.Wrap(err, "soak.Start")
 	}
-	p.ended = make(chan struct{})
+	p.ended, p.stopping = make(chan struct{}), false
 	go p.run(p.cmd, p.ended)
 	return nil
 }
@@ -67,6 +71,11 @@
 	// The error is ignored: most programs end by a signal of this package, and
 	// the output of the others is in the log.
 	_ = c.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stopping {
+		p.Violate("alive", "%s ended by itself: %v", p.Node.Name, c.ProcessState)
+	}
 	close(ended)
 }
 
@@ -74,6 +83,7 @@
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.stopping = p.stopping || s == syscall.SIGKILL || s == syscall.SIGTERM
 	// The error of a program that has already ended is of no interest.
 	_ = p.cmd.Process.Signal(s)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -109,8 +109,16 @@
 	if err := s.start(); err != nil {
 		return Report{}, err
 	}
+	o := &rolloutOrder{soak: s}
+	if s.Seed >= extendedSeed && s.Seed%rolloutEvery == 0 {
+		s.activeFaults.Add(1)
+		go o.run()
+	}
 	f := s.disturb()
 	s.activeFaults.Wait()
+	if o.state != "" {
+		f = append(f, "a roll-out ended as "+string(o.state))
+	}
 	s.checkRecovery()
 	s.checkConfiguration()
 	s.close()
@@ -153,7 +161,7 @@
 	}
 	s.configure()
 	for i := 0; i < targets; i++ {
-		if err := s.addTarget(); err != nil {
+		if err := s.addTarget(""); err != nil {
 			return err
 		}
 	}
@@ -165,7 +173,7 @@
 }
 
 func (s *Soak) process(role string, i int, ip, data string, seeds []string) *Process {
-	return &Process{Role: role, Binary: s.Binary, Dir: s.Dir, Node: platform.Node{
+	return &Process{Role: role, Violate: s.ledger.violate, Binary: s.Binary, Dir: s.Dir, Node: platform.Node{
 		Name: fmt.Sprintf("%s-%d", role, i), IP: ip, Zone: zone(i), Seeds: seeds, Data: data, Bootstrap: data != "",
 		Bounds: []string{"revocationMs=5000", "retryBudgetRatio=0.2", "retryBudgetSlack=60", "budgetWindowS=10", "gracePeriodS=6"},
 	}}
@@ -202,10 +210,14 @@
 	for _, p := range s.edges {
 		d = append(d, p.Node.Directory())
 	}
-	for i := 0; i < callers; i++ {
+	n := callers
+	if s.Seed >= extendedSeed {
+		n += extendedCallers
+	}
+	for i := 0; i < n; i++ {
 		c := &caller{
 			name: fmt.Sprintf("c%d", i), seed: s.Seed*100 + int64(i), ledger: s.ledger, directory: d,
-			keys: s.callerKeys, stopped: make(chan struct{}), ended: make(chan struct{}),
+			keys: s.callerKeys, extended: i >= callers, stopped: make(chan struct{}), ended: make(chan struct{}),
 		}
 		for k := 0; k < zones; k++ {
 			c.zones = append(c.zones, zone(k))
@@ -229,12 +241,13 @@
 	return l
 }
 
-func (s *Soak) addTarget() error {
+// addTarget starts a target of a version.
+func (s *Soak) addTarget(version string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.targetsCreated++
 	t := &target{ledger: s.ledger, cores: s.controls(), seed: s.Seed*1000 + int64(s.targetsCreated)}
-	t.spec = catalog.Target{ID: fmt.Sprintf("t%d", s.targetsCreated), Zone: zone(s.targetsCreated)}
+	t.spec = catalog.Target{ID: fmt.Sprintf("t%d", s.targetsCreated), Zone: zone(s.targetsCreated), Version: version}
 	s.targets = append(s.targets, t)
 	return t.start()
 }
@@ -276,6 +289,9 @@
 			{Name: "file", Host: host, Prefix: unsafePath, Kind: catalog.Unsafe, Timeout: 2 * clock.Second, Objective: clock.Second / 2, Attempts: 2, Parts: p},
 		},
 	}
+	if s.Seed >= extendedSeed {
+		c.Routes = append(c.Routes, extendedRoutes(p)...)
+	}
 	for _, k := range s.keys {
 		if accountOf(k) == unlimited && s.ledger.inForce(k) {
 			c.Accounts[0].Keys = append(c.Accounts[0].Keys, k)
--- a/soak/target.go
+++ b/soak/target.go
@@ -156,11 +156,14 @@
 	}
 	t.ledger.execute(id, t.spec.ID, r.Header.Get(h.Account))
 	time.Sleep(workTime)
+	w.Header().Set(h.Seal, "seal-"+id)
+	w.Header().Set(h.Load, fmt.Sprintf("%d,0,%d", t.running.Load(), targetSlots))
+	if t.serveLarge(w, r, id, outcome == 2) {
+		return
+	}
 	if outcome == 2 {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(h.Seal, "seal-"+id)
-	w.Header().Set(h.Load, fmt.Sprintf("%d,0,%d", t.running.Load(), targetSlots))
 	// The caller may have closed the connection.
 	_, _ = fmt.Fprint(w, bodyOf(id))
 }
