Forget a leader of which a replica without a vote hears no more

Cause: only voters drop a leader that is silent, when they campaign. A learner whose admission was not replicated before its leader died kept that leader's address and reported to it only, so that the next leader, which does not know the learner, never admitted it until a process answered at that address again.

Found by reading; no run has shown it.

--- a/replica/election_test.go
+++ b/replica/election_test.go
@@ -93,3 +93,21 @@
 		}
 	})
 })
+
+var _ = ginkgo.Describe("a learner", func() {
+	// Guards against a learner that asks a dead leader for ever to be admitted, because its
+	// admission was not replicated before that leader died.
+	ginkgo.It("forgets a leader of which it hears no more", func() {
+		e := newElectorate(1)
+		e.start("d.1", PersistentState{})
+		n := e.nodes["d.1"]
+		m := bootstrapMembers().WithLearner("d.1", "d")
+		n.Step(0, Message{Kind: AppendEntries, From: "a.founder", To: "d.1", Term: 8, Entries: []Entry{{Index: 1, Term: 8, Members: &m}}})
+		Expect(n.LeaderID()).To(Equal("a.founder"))
+		n.Tick(799)
+		Expect(n.LeaderID()).To(Equal("a.founder"))
+		n.Tick(1600)
+		Expect(n.LeaderID()).To(BeEmpty())
+		Expect(n.Role()).To(Equal(Follower))
+	})
+})
--- a/replica/node.go
+++ b/replica/node.go
@@ -258,15 +258,22 @@
 }
 
 // Tick starts an election or broadcasts a heartbeat if one is due. A leader steps
-// down if no majority has confirmed it for longer than ElectionTimeout.
+// down if no majority has confirmed it for longer than ElectionTimeout. A replica without
+// a vote forgets a leader of which it has not heard for that long.
 func (n *Node) Tick(now clock.Millis) {
 	if n.role == Leader {
 		n.tickLeader(now)
 		return
 	}
-	if now >= n.electionDeadline && n.isVoter() && !n.halted {
+	if now < n.electionDeadline || n.halted {
+		return
+	}
+	if n.isVoter() {
 		n.preCampaign(now)
+		return
 	}
+	// The next leader may not know this replica, which then has to find it.
+	n.leader = ""
 }
 
 // Step handles a message from another replica.
