Log -1 for the age of an event that has not happened

The first change of a target's health, and a target that never accepted a request, were logged with the time since the start of the clock (sinceMs 92,021,242). The spec fails without the change.

--- a/balance/health.go
+++ b/balance/health.go
@@ -16,8 +16,7 @@
 	// SeenBy is the ID of that host, empty if this host saw the change itself.
 	Cause  Outcome
 	SeenBy string
-	// SincePrevious is the time since the previous change, or since time 0 if
-	// there was none.
+	// SincePrevious is the time since the previous change, -1 if there was none.
 	SincePrevious clock.Millis
 	// FirstOwner is true if this host is the target's first owner.
 	FirstOwner bool
@@ -69,7 +68,7 @@
 	}
 	if p.OnHealthChange != nil {
 		p.OnHealthChange(now, HealthChange{
-			Target: t.ID, Healthy: !wasHealthy, Cause: o, SeenBy: host, SincePrevious: now - t.healthChangedAt, FirstOwner: p.isFirstOwner(t),
+			Target: t.ID, Healthy: !wasHealthy, Cause: o, SeenBy: host, SincePrevious: timeSince(now, t.healthChangedAt), FirstOwner: p.isFirstOwner(t),
 		})
 	}
 	t.healthChangedAt = now
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -87,8 +87,7 @@
 	Probe, Owned bool
 	// InFlight is the number of requests in flight at the target from all hosts,
 	// without this one. SinceAccepted is the time since the target last accepted
-	// a request that succeeded or is still in flight; since time 0 if it never
-	// did.
+	// a request that succeeded or is still in flight, -1 if none is known.
 	InFlight      int
 	SinceAccepted clock.Millis
 	// Unused is set if the target was chosen because it had got no requests.
@@ -260,7 +259,7 @@
 	if t == nil {
 		return Choice{}, false
 	}
-	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Born: t.Born, Version: t.Version, Cold: t.cold(now), Probe: t.successesNeeded > 0, Owned: t.owned, InFlight: t.totalInFlight(now), SinceAccepted: now - t.lastAcceptedAt(now)}
+	c := Choice{ID: t.ID, Addr: t.Addr, Zone: t.Zone, Born: t.Born, Version: t.Version, Cold: t.cold(now), Probe: t.successesNeeded > 0, Owned: t.owned, InFlight: t.totalInFlight(now), SinceAccepted: timeSince(now, t.lastAcceptedAt(now))}
 	if why == unusedLongest {
 		t.trying = true
 		c.Unused = &UnusedTarget{Idle: timeSince(now, t.requestedAt), Unserved: p.UnservedShare(now)}
--- a/balance/pool_test.go
+++ b/balance/pool_test.go
@@ -361,3 +361,16 @@
 		}
 	})
 })
+
+// Guards against ages in log lines that are counted from time 0 because nothing is known.
+var _ = It("has no age of an event that has not happened", func() {
+	p := newPool("a", "a1")
+	var l []HealthChange
+	p.OnHealthChange = func(_ clock.Millis, c HealthChange) { l = append(l, c) }
+	c, ok := p.Pick(5000, unsafe)
+	Expect(ok).To(BeTrue())
+	Expect(c.SinceAccepted).To(Equal(clock.Millis(-1)))
+	p.Done(5010, c.ID, Result{Outcome: Broken})
+	Expect(l).To(HaveLen(1))
+	Expect(l[0].SincePrevious).To(Equal(clock.Millis(-1)))
+})
