Move the queue for a target to package admission

Cause: the queue decides on admission and knows nothing of targets; what is added to it needs neither package balance nor edge.

Change: balance.Queue and balance.Waiter become admission.Queue and admission.Waiter, with their specs.

--- a/balance/queue.go
+++ b/admission/queue.go
@@ -1,4 +1,6 @@
-package balance
+// Package admission orders the requests that wait at one host for a target of a service,
+// and tells refused ones when to return.
+package admission
 
 import "github.com/carawayrack/carawayrack/clock"
 
--- a/balance/queue_test.go
+++ b/admission/queue_test.go
@@ -1,4 +1,4 @@
-package balance
+package admission
 
 import (
 	. "github.com/onsi/ginkgo/v2"
--- a/edge/admission_load_test.go
+++ b/edge/admission_load_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/carawayrack/carawayrack/admission"
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
@@ -185,7 +186,7 @@
 	q.pick = &pendingPick{
 		service: "s",
 		request: balance.Request{Idempotent: k.name == "path-query" && len(tried) == 0, Retryable: q.attempts == 0, LargeBody: k.name == "consist-upload", Avoid: tried, Repeated: len(tried) > 0},
-		waiter:  balance.Waiter{Priority: k.priority, Since: q.arrived},
+		waiter:  admission.Waiter{Priority: k.priority, Since: q.arrived},
 		start:   s.now, deadline: s.now + max(min(spare, k.objective*3/4), minQueueWait),
 	}
 	s.place(q, false)
--- a/edge/explain_route.go
+++ b/edge/explain_route.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 
+	"github.com/carawayrack/carawayrack/admission"
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
@@ -256,7 +257,7 @@
 func (v *fleetView) explainPick(now clock.Millis, p *pendingPick, l *ServiceLine) {
 	q := v.queues[p.service]
 	if q == nil {
-		q = &balance.Queue{}
+		q = &admission.Queue{}
 	}
 	l.Waiting, l.Ahead = q.Len(), q.Ahead(&p.waiter)
 	if q.Stands(now) {
--- a/edge/fleet_view.go
+++ b/edge/fleet_view.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/carawayrack/carawayrack/admission"
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
@@ -35,7 +36,7 @@
 	fleet        *coordinator.Fleet
 	pools        map[string]*balance.Pool
 	retryBudgets map[string]*quota.RetryBudget
-	queues       map[string]*balance.Queue
+	queues       map[string]*admission.Queue
 	// latencies holds the average latency by route.
 	latencies averageLatencies
 	// recorder counts the responses of versions.
@@ -47,7 +48,7 @@
 func (v *fleetView) run() {
 	v.pools = map[string]*balance.Pool{}
 	v.retryBudgets = map[string]*quota.RetryBudget{}
-	v.queues = map[string]*balance.Queue{}
+	v.queues = map[string]*admission.Queue{}
 	v.latencies = averageLatencies{}
 	v.fleet = &coordinator.Fleet{}
 }
--- a/edge/hedging_load_test.go
+++ b/edge/hedging_load_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/carawayrack/carawayrack/admission"
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
@@ -131,7 +132,7 @@
 		if s.r.Intn(1000) < perSecond {
 			h := s.hosts[s.r.Intn(len(s.hosts))]
 			c := &call{host: h, service: "s", route: &h.view.config.Routes[0], context: context.Background(), start: s.now, deadline: s.now + s.timeout}
-			p := &pendingPick{service: "s", request: balance.Request{Idempotent: true, Retryable: true}, start: s.now, deadline: s.now + s.objective*3/4, waiter: balance.Waiter{Since: s.now}}
+			p := &pendingPick{service: "s", request: balance.Request{Idempotent: true, Retryable: true}, start: s.now, deadline: s.now + s.objective*3/4, waiter: admission.Waiter{Since: s.now}}
 			h.view.countRequest("s")
 			s.place(&hedgeCall{call: c, pick: p}, false)
 		}
--- a/edge/notice_load_test.go
+++ b/edge/notice_load_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/carawayrack/carawayrack/admission"
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
@@ -145,7 +146,7 @@
 
 // queue makes the call wait for a target from now on.
 func (c *noticeCall) queue(now clock.Millis) *noticeCall {
-	c.pick = &pendingPick{service: "s", waiter: balance.Waiter{Since: c.started}, start: now, deadline: now + noticeLimit*3/8}
+	c.pick = &pendingPick{service: "s", waiter: admission.Waiter{Since: c.started}, start: now, deadline: now + noticeLimit*3/8}
 	return c
 }
 
--- a/edge/overload_test.go
+++ b/edge/overload_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/carawayrack/carawayrack/admission"
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
@@ -52,7 +53,7 @@
 	}
 	delete(l.running, now)
 	if l.r.Intn(1000) < perSecond {
-		p := &pendingPick{service: "s", waiter: balance.Waiter{Priority: 1 + l.r.Intn(2), Since: now}, start: now, deadline: now + loadObjective*3/4}
+		p := &pendingPick{service: "s", waiter: admission.Waiter{Priority: 1 + l.r.Intn(2), Since: now}, start: now, deadline: now + loadObjective*3/4}
 		l.requested[p.waiter.Priority]++
 		l.tryPick(now, p, false)
 	}
--- a/edge/pending_pick.go
+++ b/edge/pending_pick.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/carawayrack/carawayrack/admission"
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 )
@@ -17,7 +18,7 @@
 type pendingPick struct {
 	service string
 	request balance.Request
-	waiter  balance.Waiter
+	waiter  admission.Waiter
 	// start and deadline bound the wait.
 	start, deadline clock.Millis
 	// closed is true if the request got no target because none accepts requests.
@@ -31,7 +32,7 @@
 }
 
 // standingQueueWait is how long a request may wait in a queue that has not been
-// empty for a while; see balance.Queue.Standing.
+// empty for a while; see admission.Queue.Standing.
 const standingQueueWait = 60 * clock.Millis(1)
 
 // waitForTarget picks a target. If all are full, the request waits in the queue
@@ -119,10 +120,10 @@
 	return p.closed && (p.pause == 0 || now+p.pause >= p.deadline)
 }
 
-func (v *fleetView) queue(service string) *balance.Queue {
+func (v *fleetView) queue(service string) *admission.Queue {
 	q := v.queues[service]
 	if q == nil {
-		q = &balance.Queue{}
+		q = &admission.Queue{}
 		v.queues[service] = q
 	}
 	return q
--- a/edge/send.go
+++ b/edge/send.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/carawayrack/carawayrack/admission"
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
@@ -244,7 +245,7 @@
 		Repeated:     hedge || len(c.tried) > 0,
 	}
 	return &pendingPick{
-		service: c.service, request: request, waiter: balance.Waiter{Priority: c.priority(), Since: c.start},
+		service: c.service, request: request, waiter: admission.Waiter{Priority: c.priority(), Since: c.start},
 		start: now, deadline: until, refuse: c.endsBefore,
 	}
 }
