Guarantee a twentieth of the admissions to less urgent requests

Cause: in a queue by priority alone, the least urgent requests of an overloaded service are admitted only when no other waits. They mostly reach the end of their wait instead, and a change that lets more urgent requests return sooner takes what is left to them.

Change: a priority whose requests wait is next once 19 more urgent requests were admitted since the last one of it. What it has earned is kept while none of its requests waits, since a wait lasts 60 ms in a standing queue and a host admits about one request in that time.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -5,9 +5,17 @@
 import "github.com/carawayrack/carawayrack/clock"
 
 // Queue orders the requests that wait for a target of one service: by priority,
-// then by arrival. It is not safe for concurrent use.
+// then by arrival. Less urgent priorities keep a part of the admissions. It is not safe
+// for concurrent use.
 type Queue struct {
+	// Guarantee is the number of admissions of which one goes to each less urgent
+	// priority that has waiting requests; 0 means none.
+	Guarantee int
+
 	waiters []*Waiter
+	// passed counts, by priority, the admissions of more urgent requests while requests
+	// of that priority waited, since the last admission of one of them.
+	passed map[int]int
 	// lastEmptyAt is when Standing last found the queue empty.
 	lastEmptyAt clock.Millis
 }
@@ -71,10 +79,39 @@
 	}
 }
 
+// first returns the request that is next, nil if none waits, and whether it is next
+// because of the guarantee to its priority.
+func (q *Queue) first() (w *Waiter, guaranteed bool) {
+	if len(q.waiters) == 0 {
+		return nil, false
+	}
+	for _, w := range q.waiters {
+		if q.Guarantee > 0 && q.passed[w.Priority] >= q.Guarantee-1 {
+			return w, true
+		}
+	}
+	return q.waiters[0], false
+}
+
 // IsNext reports whether a request, queued or not, precedes all others in the
 // queue.
 func (q *Queue) IsNext(w *Waiter) bool {
-	return len(q.waiters) == 0 || q.waiters[0] == w || w.before(q.waiters[0])
+	f, guaranteed := q.first()
+	return f == nil || f == w || !guaranteed && w.before(f)
+}
+
+// Admitted records that a request got a target, whether or not it waited. It must be
+// called before Remove.
+func (q *Queue) Admitted(w *Waiter) {
+	if q.passed == nil {
+		q.passed = map[int]int{}
+	}
+	q.passed[w.Priority] = 0
+	for i, x := range q.waiters {
+		if x.Priority > w.Priority && (i == 0 || x.Priority != q.waiters[i-1].Priority) {
+			q.passed[x.Priority]++
+		}
+	}
 }
 
 // Ahead returns the number of requests in the queue that precede another one.
@@ -90,11 +127,12 @@
 
 // Wake notifies the first request through its Ready channel. It does not block.
 func (q *Queue) Wake() {
-	if len(q.waiters) == 0 {
+	f, _ := q.first()
+	if f == nil {
 		return
 	}
 	select {
-	case q.waiters[0].Ready <- struct{}{}:
+	case f.Ready <- struct{}{}:
 	default:
 	}
 }
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -31,6 +31,42 @@
 		Expect(q.IsNext(&Waiter{Priority: 2, Since: 5})).To(BeFalse())
 	})
 
+	It("admits a less urgent request after Guarantee - 1 more urgent ones, also if these did not wait", func() {
+		q := &Queue{Guarantee: 5}
+		low := &Waiter{Priority: 2, Since: 1}
+		q.Add(low)
+		urgent := &Waiter{Priority: 1, Since: 9}
+		for range 4 {
+			Expect(q.IsNext(urgent)).To(BeTrue())
+			q.Admitted(urgent)
+		}
+		Expect(q.IsNext(urgent)).To(BeFalse())
+		q.Add(urgent)
+		q.Wake()
+		Expect(low.Ready).To(Receive())
+		Expect(q.IsNext(low)).To(BeTrue())
+		q.Admitted(low)
+		q.Remove(low)
+		Expect(q.IsNext(urgent)).To(BeTrue())
+	})
+
+	It("keeps what a less urgent priority has earned while none of its requests waits", func() {
+		q := &Queue{Guarantee: 3}
+		urgent := &Waiter{Priority: 1, Since: 1}
+		for range 2 {
+			low := &Waiter{Priority: 2, Since: 1}
+			q.Add(low)
+			q.Admitted(urgent)
+			q.Remove(low)
+			// Nothing is earned meanwhile.
+			q.Admitted(urgent)
+		}
+		low := &Waiter{Priority: 2, Since: 2}
+		q.Add(low)
+		Expect(q.IsNext(urgent)).To(BeFalse())
+		Expect(q.IsNext(low)).To(BeTrue())
+	})
+
 	It("notifies the first request without blocking", func() {
 		q := &Queue{}
 		w := &Waiter{Since: 1}
--- a/edge/admission_load_test.go
+++ b/edge/admission_load_test.go
@@ -83,19 +83,21 @@
 	// of the hosts.
 	arrivals, r         *rand.Rand
 	rejecting, bursting bool
-	now                 clock.Millis
-	hosts               []*fleetView
-	index               map[string]int
-	waiting             [admissionHosts][]*hostRequest
-	running             [admissionTargets]int
-	queued              [admissionTargets][]*hostRequest
-	at                  map[clock.Millis][]func()
+	// guarantee is that of the queues.
+	guarantee int
+	now       clock.Millis
+	hosts     []*fleetView
+	index     map[string]int
+	waiting   [admissionHosts][]*hostRequest
+	running   [admissionTargets]int
+	queued    [admissionTargets][]*hostRequest
+	at        map[clock.Millis][]func()
 	// tallies holds the sum, the kinds, then the accounts.
 	tallies [1 + 3 + admissionAccounts]admissionTally
 }
 
 func newAdmissionSimulation(seed int64) *admissionSimulation {
-	s := &admissionSimulation{arrivals: rand.New(rand.NewSource(seed)), r: rand.New(rand.NewSource(seed + 1000)), index: map[string]int{}, at: map[clock.Millis][]func(){}}
+	s := &admissionSimulation{arrivals: rand.New(rand.NewSource(seed)), r: rand.New(rand.NewSource(seed + 1000)), guarantee: lessUrgentGuarantee, index: map[string]int{}, at: map[clock.Millis][]func(){}}
 	var fleet coordinator.Fleet
 	for i := range admissionHosts {
 		fleet.Hosts = append(fleet.Hosts, coordinator.Host{ID: fmt.Sprintf("h%02d", i), Zone: "z", Narrow: true})
@@ -123,6 +125,9 @@
 }
 
 func (s *admissionSimulation) run() {
+	for _, v := range s.hosts {
+		v.queue("s").Guarantee = s.guarantee
+	}
 	for s.now = 1; s.now < admissionLength+callerTime; s.now++ {
 		for _, f := range s.at[s.now] {
 			f()
--- a/edge/pending_pick.go
+++ b/edge/pending_pick.go
@@ -35,6 +35,10 @@
 // empty for a while; see admission.Queue.Standing.
 const standingQueueWait = 60 * clock.Millis(1)
 
+// lessUrgentGuarantee is the number of admissions of which each less urgent priority
+// gets at least one while it has requests that wait: a twentieth.
+const lessUrgentGuarantee = 20
+
 // waitForTarget picks a target. If all are full, the request waits in the queue
 // until its deadline. It returns false if there is still no target then, if the
 // caller has left, or if p.refuse ends the wait.
@@ -101,6 +105,9 @@
 			over = v.noteClosed(now, p) || over
 		}
 	}
+	if ok && !a.FreeSlotOnly {
+		q.Admitted(&p.waiter)
+	}
 	switch {
 	case ok || over:
 		if queued {
@@ -123,7 +130,7 @@
 func (v *fleetView) queue(service string) *admission.Queue {
 	q := v.queues[service]
 	if q == nil {
-		q = &admission.Queue{}
+		q = &admission.Queue{Guarantee: lessUrgentGuarantee}
 		v.queues[service] = q
 	}
 	return q
