--- a/edge/explain_route.go
+++ b/edge/explain_route.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/carawayrack/carawayrack/admission"
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/routing"
@@ -139,7 +140,7 @@
 func (v *fleetView) explainPick(now clock.Millis, p *pendingPick, l *routing.ServiceLine) {
 	q := v.queues[p.service]
 	if q == nil {
-		q = &balance.Queue{}
+		q = &admission.Queue{}
 	}
 	l.Waiting, l.Ahead = q.Len(), q.Ahead(&p.waiter)
 	if q.Stands(now) {
--- a/edge/pending_pick.go
+++ b/edge/pending_pick.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/carawayrack/carawayrack/admission"
 	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/clock"
 )
@@ -17,7 +18,7 @@
 type pendingPick struct {
 	service string
 	request balance.Request
-	waiter  balance.Waiter
+	waiter  admission.Waiter
 	// start and deadline bound the wait.
 	start, deadline clock.Millis
 	// closed is true if the request got no target because none accepts requests.
@@ -31,9 +32,13 @@
 }
 
 // standingQueueWait is how long a request may wait in a queue that has not been
-// empty for a while; see balance.Queue.Standing.
+// empty for a while; see admission.Queue.Standing.
 const standingQueueWait = 60 * clock.Millis(1)
 
+// lessUrgentGuarantee is the number of admissions of which each less urgent priority
+// gets at least one while it has requests that wait: a twentieth.
+const lessUrgentGuarantee = 20
+
 // waitForTarget picks a target. If all are full, the request waits in the queue
 // until its deadline. It returns false if there is still no target then, if the
 // caller has left, or if p.refuse ends the wait.
@@ -100,6 +105,9 @@
 			over = v.noteClosed(now, p) || over
 		}
 	}
+	if ok && !a.FreeSlotOnly {
+		q.Admitted(&p.waiter)
+	}
 	switch {
 	case ok || over:
 		if queued {
@@ -119,10 +127,10 @@
 	return p.closed && (p.pause == 0 || now+p.pause >= p.deadline)
 }
 
-func (v *fleetView) queue(service string) *balance.Queue {
+func (v *fleetView) queue(service string) *admission.Queue {
 	q := v.queues[service]
 	if q == nil {
-		q = &balance.Queue{}
+		q = &admission.Queue{Guarantee: lessUrgentGuarantee}
 		v.queues[service] = q
 	}
 	return q
