--- a/balance/cost.go
+++ b/balance/cost.go
@@ -63,9 +63,6 @@
 // lowest cost is picked. It adds the parts of the cost to l, which may be nil.
 func (p *Pool) cost(now clock.Millis, t *target, a Request, l costParts) float64 {
 	c := p.risk(now, t)
-	if !a.Idempotent && t.successesNeeded >= checkedSuccessesNeeded && now < p.probeAllowedAt(t) {
-		c = costUnhealthy
-	}
 	l.add("risk", c)
 	b, s := t.totalInFlight(now), t.slots()
 	c += l.add("inFlight", costInFlight*float64(b))
@@ -99,7 +96,7 @@
 // risk estimates the probability that the target fails the next request.
 func (p *Pool) risk(now clock.Millis, t *target) float64 {
 	if t.checked && t.successesNeeded == checkedSuccessesNeeded {
-		return p.checkedRisk(now, t)
+		return t.checkedRisk(now)
 	}
 	if t.successesNeeded > 0 {
 		return costRecovering[min(t.successesNeeded, maxSuccessesNeeded)]
--- a/balance/explain.go
+++ b/balance/explain.go
@@ -53,9 +53,8 @@
 // Explain returns all targets as Pick would consider them for a request. It changes
 // nothing.
 func (p *Pool) Explain(now clock.Millis, a Request) []Candidate {
-	defer p.restore(p.anyHealthy, p.pausing, p.trials())
+	defer p.restore(p.anyHealthy, p.trials())
 	p.updateAnyHealthy()
-	p.updatePausing(now)
 	var best *target
 	var why criterion
 	for _, a.side = range p.sides(a) {
@@ -98,8 +97,8 @@
 }
 
 // restore undoes what choosing a target prepares.
-func (p *Pool) restore(anyHealthy, pausing bool, trials map[*target]bool) {
-	p.anyHealthy, p.pausing = anyHealthy, pausing
+func (p *Pool) restore(anyHealthy bool, trials map[*target]bool) {
+	p.anyHealthy = anyHealthy
 	for t, was := range trials {
 		t.trial = was
 	}
--- a/balance/health_check.go
+++ b/balance/health_check.go
@@ -28,15 +28,6 @@
 	costChecked     = 0.3
 	costCheckedLate = 0.1
 	checkedLate     = 10 * clock.Second
-	// After a failure, requests that must not be repeated pause for as long as the
-	// target has been failing, within minFailurePause and maxFailurePause: in failure
-	// episodes of 10 to 20 s in which the health path reports no problem, a fixed time
-	// cost 5 to 15 requests in each episode.
-	minFailurePause = 5 * clock.Second
-	maxFailurePause = 15 * clock.Second
-	// failurePauseStagger is the additional part of the pause for each owner after the
-	// first, so that owners do not probe at the same time.
-	failurePauseStagger = 0.25
 	// checkedSuccessesNeeded is the number of successes that a target still needs
 	// after it has passed enough checks. A health path may report a target as
 	// healthy that fails its requests, so that the last successes must be those of
@@ -98,24 +89,9 @@
 	return true
 }
 
-// checkedRisk returns the risk of a target that needs only successes of requests: the
-// longer ago its failure, the less likely that it goes on failing.
-func (p *Pool) checkedRisk(now clock.Millis, t *target) float64 {
-	at := p.probeAllowedAt(t)
-	if now < at {
-		return costUnhealthy
-	}
-	elapsed := float64(min(now-at, checkedLate)) / float64(checkedLate)
+// checkedRisk returns the risk of a target that needs only the success of a
+// request: the longer ago its failure, the less likely that it goes on failing.
+func (t *target) checkedRisk(now clock.Millis) float64 {
+	elapsed := float64(min(now-t.failAt, checkedLate)) / float64(checkedLate)
 	return costChecked - (costChecked-costCheckedLate)*elapsed
 }
-
-// probeAllowedAt returns the end of the pause after the last failure of a target. Before,
-// this host sends it a request that must not be repeated only if all others are full.
-func (p *Pool) probeAllowedAt(t *target) clock.Millis {
-	if !p.pausing {
-		return t.failAt
-	}
-	pause := max(min(t.failAt-t.healthChangedAt, maxFailurePause), minFailurePause)
-	rank := max(slices.Index(t.owners, p.Self), 0)
-	return t.failAt + pause + clock.Millis(failurePauseStagger*float64(rank)*float64(pause))
-}
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -47,8 +47,6 @@
 	peerOutcomes map[string]peerOutcomes
 	// anyHealthy is true if any target that accepts requests is healthy.
 	anyHealthy bool
-	// pausing is true if requests that must not be repeated pause after failures.
-	pausing bool
 	// rollout is the last roll-out of the service.
 	rollout catalog.Rollout
 }
@@ -231,7 +229,6 @@
 // must call Done at its end. Pick returns false if no target can handle it now.
 func (p *Pool) Pick(now clock.Millis, a Request) (Choice, bool) {
 	p.updateAnyHealthy()
-	p.updatePausing(now)
 	for _, a.side = range p.sides(a) {
 		if c, ok := p.pick(now, p.prepare(a)); ok {
 			return c, true
--- a/balance/unused.go
+++ b/balance/unused.go
@@ -70,7 +70,3 @@
 // many reports whether so many requests are not served, or so little is known of
 // them, that unused targets must be tried.
 func (s UnservedShare) many() bool { return !s.Known || s.Share >= manyUnserved }
-
-// updatePausing updates whether requests pause after failures. While many are not
-// served they do not, since the targets in use may be no better.
-func (p *Pool) updatePausing(now clock.Millis) { p.pausing = !p.UnservedShare(now).many() }
