--- a/balance/unused.go
+++ b/balance/unused.go
@@ -8,10 +8,10 @@
 
 const (
 	// manyUnserved is the share of unserved requests from which on unused targets are
-	// tried. Deployments require 0.7 of the healthy targets in use from a tenth on. With
-	// 0.05 it was reached on calm days, when requests that must not be repeated found
-	// failing targets more often (slot-booking, docs/ROUNDS.md).
-	manyUnserved = 0.08
+	// tried. Deployments require 0.7 of the healthy targets in use within 2 s from a
+	// tenth on: with a limit of 0.06 or 0.08 the requests came too late after a sudden
+	// failure of many targets (docs/ROUNDS.md).
+	manyUnserved = 0.05
 	// unusedAfter is the time without a request after which a target counts as unused.
 	// Deployments require requests at most of the healthy targets within 2 s; the
 	// other second is for the next request of the owner to arrive.
--- a/balance/unused_test.go
+++ b/balance/unused_test.go
@@ -153,7 +153,7 @@
 	// a1 and a2 are equal to a request that must not be repeated, but a2 has got none.
 	unusedPool := func(served int) *Pool {
 		p := newPool("a", "a1", "a2")
-		for i := range 25 {
+		for i := range 20 {
 			p.CountOutcome(5000, i < served)
 		}
 		succeed(p, 4990, "a1")
@@ -161,18 +161,18 @@
 	}
 
 	It("gets one request at a time, also if it has only passed its health checks", func() {
-		p := unusedPool(23)
+		p := unusedPool(19)
 		t := p.targets["a2"]
 		t.failAt, t.successesNeeded, t.checked = 1000, checkedSuccessesNeeded, true
 		c, ok := p.Pick(5000, unsafe)
 		Expect(ok).To(BeTrue())
 		Expect(c.ID).To(Equal("a2"))
-		Expect(c.Unused.Unserved).To(Equal(UnservedShare{Known: true, Share: 0.08, Ended: 25, Unserved: 2}))
+		Expect(c.Unused.Unserved).To(Equal(UnservedShare{Known: true, Share: 0.05, Ended: 20, Unserved: 1}))
 		Expect(picks(p, 5000+unusedAfter, 2)).NotTo(HaveKey("a2"))
 	})
 
-	It("gets none for being unused if fewer than 8 % are not served, or before its health checks have passed", func() {
-		Expect(picks(unusedPool(24), 5000, 1)).NotTo(HaveKey("a2"))
+	It("gets none for being unused if fewer than 5 % are not served, or before its health checks have passed", func() {
+		Expect(picks(unusedPool(20), 5000, 1)).NotTo(HaveKey("a2"))
 		p := unusedPool(10)
 		p.targets["a2"].failAt, p.targets["a2"].successesNeeded = 1000, checkedSuccessesNeeded+1
 		Expect(picks(p, 5000, 1)).NotTo(HaveKey("a2"))
