--- a/edge/outcomes.go
+++ b/edge/outcomes.go
@@ -11,7 +11,7 @@
 
 const (
 	// outcomeReportBudget is the number of bytes a second that a host may send for its
-	// counts of ended requests, which is the limit that operators were given.
+	// counts of ended requests; see docs/design/load-and-scale.md.
 	// outcomeReportDepth may be sent at once: one datagram to each of some 100 hosts.
 	outcomeReportBudget = 1_000
 	outcomeReportDepth  = 6_000
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -271,8 +271,9 @@
 
 // Finish ends an exchange whose response was read to its end. If the target
 // responded early and reads on, it waits until the rest of the request has been sent,
-// also if the context has been cancelled since. It returns the connection to the pool if the whole request was sent, the target
-// keeps the connection open and no data is left on it.
+// also if the context has been cancelled since. It returns the connection to the pool
+// if the whole request was sent, the target keeps the connection open and no data is
+// left on it.
 func (e *Exchange) Finish() {
 	e.stopInterrupt()
 	sent, err := e.awaitSent(context.Background())
