--- a/edge/hedging.go
+++ b/edge/hedging.go
@@ -19,10 +19,7 @@
 type hedger struct {
 	mu      sync.Mutex
 	budgets map[string]*hedge.Budget
-	// lines is the number of log lines since linesSince, omitted that of lines left out
-	// since the last one.
-	linesSince     clock.Millis
-	lines, omitted int
+	lines   lineLimit
 }
 
 // hedgePlan is how a request will be hedged if it is slow.
@@ -214,25 +211,8 @@
 	m.hedgeShare.Set(service, f)
 }
 
-// mayLog reports whether one more line on hedges may be logged, and how many were left
-// out since the last one.
-func (g *hedger) mayLog(now clock.Millis) (omitted int, ok bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if now-g.linesSince >= clock.Second {
-		g.linesSince, g.lines = now, 0
-	}
-	if g.lines >= maxHedgeLines {
-		g.omitted++
-		return 0, false
-	}
-	g.lines++
-	omitted, g.omitted = g.omitted, 0
-	return omitted, true
-}
-
 func (h *Host) logHedge(now clock.Millis, c *call, p *hedgePlan, d hedge.Decision) {
-	omitted, ok := h.hedger.mayLog(now)
+	omitted, ok := h.hedger.lines.allow(now, maxHedgeLines)
 	if !ok {
 		return
 	}
--- a/edge/hedging_test.go
+++ b/edge/hedging_test.go
@@ -98,12 +98,12 @@
 		var g hedger
 		n := 0
 		for range 100 {
-			if _, ok := g.mayLog(5000); ok {
+			if _, ok := g.lines.allow(5000, maxHedgeLines); ok {
 				n++
 			}
 		}
 		Expect(n).To(Equal(maxHedgeLines))
-		omitted, ok := g.mayLog(5000 + clock.Second)
+		omitted, ok := g.lines.allow(5000+clock.Second, maxHedgeLines)
 		Expect(ok).To(BeTrue())
 		Expect(omitted).To(Equal(100 - maxHedgeLines))
 	})
--- a/edge/unused_target.go
+++ b/edge/unused_target.go
@@ -1,12 +1,9 @@
 package edge
 
 import (
-	"sync"
-
 	"go.uber.org/zap"
 
 	"github.com/carawayrack/carawayrack/balance"
-	"github.com/carawayrack/carawayrack/clock"
 )
 
 // maxUnusedTargetLines is the number of log lines on unused targets that a host writes
@@ -14,30 +11,6 @@
 // three of them, each of which it tries once a second at most.
 const maxUnusedTargetLines = 5
 
-// lineLimit limits the log lines of one kind.
-type lineLimit struct {
-	mu             sync.Mutex
-	since          clock.Millis
-	lines, omitted int
-}
-
-// allow reports whether another line may be written, and how many were left out since
-// the last one.
-func (l *lineLimit) allow(now clock.Millis, perSecond int) (omitted int, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now-l.since >= clock.Second {
-		l.since, l.lines = now, 0
-	}
-	if l.lines >= perSecond {
-		l.omitted++
-		return 0, false
-	}
-	l.lines++
-	omitted, l.omitted = l.omitted, 0
-	return omitted, true
-}
-
 // logUnusedTarget counts and logs that the request tries an unused target.
 func (c *call) logUnusedTarget(x balance.Choice) {
 	u := x.Unused
