--- a/soak/extended_test.go
+++ b/soak/extended_test.go
@@ -77,3 +77,13 @@
 		Expect(l.check()).To(ConsistOf(HaveField("Promise", "alive")))
 	})
 })
+
+// Guards against a data race between a fault that empties a disk and a roll-out that asks
+// for the addresses of control processes. Only the race detector sees it.
+var _ = ginkgo.It("tells the address of a process whose disk is being emptied", func() {
+	p := &Process{Node: platform.Node{IP: "127.0.0.1", Data: ginkgo.GinkgoT().TempDir()}}
+	done := make(chan error, 1)
+	go func() { done <- p.Wipe() }()
+	Expect(p.Node.Control()).NotTo(BeEmpty())
+	Eventually(done, "10s").Should(Receive(BeNil()))
+})
