--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/forward"
+	"github.com/carawayrack/carawayrack/poison"
 	"github.com/carawayrack/carawayrack/readahead"
 	"github.com/carawayrack/carawayrack/rollout"
 	"github.com/carawayrack/carawayrack/slots"
@@ -304,7 +305,9 @@
 		c.host.latencies.Record(now, c.route.Name, r.Took)
 		c.clearSuspicion()
 	case balance.Broken:
-		c.host.poison.CheckCrash(c.fingerprint(), a.choice.ID, a.choice.Addr)
+		c.host.poison.CheckCrash(poison.Attempt{
+			Fingerprint: c.fingerprint(), Target: a.choice.ID, Addr: a.choice.Addr, Born: a.choice.Born, SentAt: a.started,
+		})
 	}
 	a.recordSuperseded(now, o)
 	c.host.view.endAttempt(now, a.counted, a.rolloutOutcome(o))
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -42,6 +42,22 @@
 		Expect(w.post(path, "good").status).NotTo(Equal(http.StatusServiceUnavailable), "a request with another body is not affected")
 	})
 
+	// Guards against targets that come back under their IDs and crash again and again.
+	It("is quarantined after three crashes of two targets that start again under their IDs", func() {
+		l := []*standin{newStandin("t0", ""), newStandin("t1", "")}
+		w := newTestHost(l...)
+		w.down.Store(true)
+		for n := 1; n <= 6; n++ {
+			w.restart(int64(10*n), l...)
+			if w.post(path, "bad").status == http.StatusServiceUnavailable {
+				break
+			}
+			crashed(w, n)
+		}
+		Expect(l[0].requests() + l[1].requests()).To(Equal(3))
+		Expect(w.post(path, "good").status).To(Equal(http.StatusBadGateway), "another request is not affected")
+	})
+
 	It("is not suspected if its targets still accept connections", func() {
 		l := []*standin{newStandin("t0", ""), newStandin("t1", ""), newStandin("t2", ""), newStandin("t3", "")}
 		w := newTestHost(l...)
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -251,7 +251,10 @@
 }
 
 // set replaces the configuration and the targets of the host.
-func (w *testHost) set(targets ...*standin) {
+func (w *testHost) set(targets ...*standin) { w.restart(1, targets...) }
+
+// restart does the same with targets that have started at the given time or later.
+func (w *testHost) restart(born int64, targets ...*standin) {
 	s := catalog.New(nil)
 	s.Config = &catalog.Config{
 		Version:  1,
@@ -265,7 +268,7 @@
 	}
 	s.Config.Index()
 	for i, t := range targets {
-		s.Targets[t.id] = catalog.Target{ID: t.id, Service: "s", Zone: "z", Addr: t.ln.Addr().String(), Phase: catalog.Serving, Slots: 8, Born: int64(i + 1)}
+		s.Targets[t.id] = catalog.Target{ID: t.id, Service: "s", Zone: "z", Addr: t.ln.Addr().String(), Phase: catalog.Serving, Slots: 8, Born: born + int64(i)}
 	}
 	w.host.view.setState(w.host.Clock.Now(), s)
 }
--- a/poison/detector.go
+++ b/poison/detector.go
@@ -4,11 +4,12 @@
 	"encoding/binary"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
@@ -94,11 +95,10 @@
 	return &Trial{f, p.Sequence}, 0
 }
 
-// CheckCrash starts to check whether a target has crashed, after it closed the
-// connection during a request or sent an invalid response. It takes the ID and the
-// address of the target and does not wait for the result.
-func (d *Detector) CheckCrash(f Fingerprint, id, addr string) {
-	x := &crashCheck{detector: d, fingerprint: f, target: id, addr: addr}
+// CheckCrash starts to check whether the target of an attempt has crashed, after it closed
+// the connection or sent an invalid response. It does not wait for the result.
+func (d *Detector) CheckCrash(a Attempt) {
+	x := &crashCheck{detector: d, attempt: a}
 	go x.run()
 }
 
@@ -132,17 +132,30 @@
 	return known
 }
 
-// recordCrash records a crash that this host or another one has detected, and reports
-// whether the request is in quarantine now.
-func (d *Detector) recordCrash(f Fingerprint, target uint32) bool {
+// recordCrash records a crash that another host has detected.
+func (d *Detector) recordCrash(f Fingerprint, key uint32) {
 	d.mu.Lock()
-	quarantined := d.register.RecordCrash(d.Clock.Now(), f, target)
+	quarantined := d.register.RecordCrash(d.Clock.Now(), f, key)
+	d.mu.Unlock()
 	d.hasSuspects.Store(true)
+	d.logQuarantine(f, quarantined)
+}
+
+// recordAttemptCrash records a crash that this host has detected; see
+// Register.RecordAttemptCrash.
+func (d *Detector) recordAttemptCrash(a Attempt, refused bool) (key uint32, quarantined bool) {
+	d.mu.Lock()
+	key, quarantined = d.register.RecordAttemptCrash(d.Clock.Now(), a, refused)
 	d.mu.Unlock()
+	d.hasSuspects.Store(true)
+	d.logQuarantine(a.Fingerprint, quarantined)
+	return key, quarantined
+}
+
+func (d *Detector) logQuarantine(f Fingerprint, quarantined bool) {
 	if quarantined {
 		d.Log.Warn("quarantined", zap.Uint64("fingerprint", uint64(f)))
 	}
-	return quarantined
 }
 
 // Receive handles an encoded Message of another host. It drops messages of another
@@ -163,7 +176,8 @@
 // suspected request was answered.
 type Message struct {
 	Fingerprint Fingerprint
-	// Target is the balance.Key of the target that crashed, 0 if none did.
+	// Target is the key of the incarnation that crashed, 0 if none did; see
+	// Register.RecordAttemptCrash.
 	Target uint32
 	// Cleared is true if the request was answered.
 	Cleared bool
@@ -183,26 +197,27 @@
 // crashCheck checks whether a target has crashed: it counts as crashed if it
 // accepts no connection.
 type crashCheck struct {
-	detector     *Detector
-	fingerprint  Fingerprint
-	target, addr string
+	detector *Detector
+	attempt  Attempt
 }
 
 func (x *crashCheck) run() {
 	time.Sleep(crashCheckDelay.Duration())
-	if x.detector.Dial(x.addr) == nil {
+	d, a := x.detector, x.attempt
+	err := d.Dial(a.Addr)
+	if err == nil {
 		return
 	}
-	d, k := x.detector, balance.Key(x.target)
-	d.Log.Info("target crashed", zap.String("target", x.target), zap.Uint64("fingerprint", uint64(x.fingerprint)))
-	quarantined := d.recordCrash(x.fingerprint, k)
-	d.Broadcast(Message{Fingerprint: x.fingerprint, Target: k}.Encode())
+	k, quarantined := d.recordAttemptCrash(a, errors.Is(err, syscall.ECONNREFUSED))
+	d.Log.Info("target crashed", zap.String("target", a.Target), zap.Int64("born", a.Born),
+		zap.Uint64("fingerprint", uint64(a.Fingerprint)), zap.Error(err))
+	d.Broadcast(Message{Fingerprint: a.Fingerprint, Target: k}.Encode())
 	if !quarantined {
 		return
 	}
-	if _, err := d.Control(coordinator.SuspectArgs{Fingerprint: uint64(x.fingerprint), Crashed: true}); err != nil {
+	if _, err := d.Control(coordinator.SuspectArgs{Fingerprint: uint64(a.Fingerprint), Crashed: true}); err != nil {
 		// The next host that asks for a trial reports the crashes as well.
-		d.Log.Warn("the control processes do not know of a quarantine", zap.Uint64("fingerprint", uint64(x.fingerprint)), zap.Error(err))
+		d.Log.Warn("the control processes do not know of a quarantine", zap.Uint64("fingerprint", uint64(a.Fingerprint)), zap.Error(err))
 	}
 }
 
--- a/poison/register.go
+++ b/poison/register.go
@@ -4,7 +4,9 @@
 
 import (
 	"hash/fnv"
+	"strconv"
 
+	"github.com/carawayrack/carawayrack/balance"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 )
@@ -25,8 +27,9 @@
 }
 
 const (
-	// crashesToQuarantine is the number of different targets that must crash while
-	// running a request, without a response in between, before it is quarantined.
+	// crashesToQuarantine is the number of crashes of targets that run a request, without
+	// a response in between, before it is quarantined. A target that starts again can
+	// crash again.
 	crashesToQuarantine = 3
 	// crashRetention is how long a crash counts.
 	crashRetention = 60 * clock.Second
@@ -42,8 +45,11 @@
 
 // suspect is a request during which targets crashed.
 type suspect struct {
-	// targets holds the keys of the targets that crashed.
-	targets map[uint32]bool
+	// crashes holds the keys of the incarnations of targets that crashed.
+	crashes map[uint32]bool
+	// refusedAt is when this host found that an incarnation, by its key, accepted no
+	// connections any more.
+	refusedAt map[uint32]clock.Millis
 	// expiresAt is when the suspect is dropped unless it is listed.
 	expiresAt clock.Millis
 	// listed is true if the control processes list the request as quarantined.
@@ -53,7 +59,28 @@
 	notBefore clock.Millis
 }
 
-func (s *suspect) quarantined() bool { return s.listed || len(s.targets) >= crashesToQuarantine }
+func (s *suspect) quarantined() bool { return s.listed || len(s.crashes) >= crashesToQuarantine }
+
+func newSuspect() *suspect {
+	return &suspect{crashes: map[uint32]bool{}, refusedAt: map[uint32]clock.Millis{}}
+}
+
+// Attempt is the sending of a request to a target.
+type Attempt struct {
+	Fingerprint Fingerprint
+	// Target is the ID of the target, Addr its address, and Born the start of its
+	// incarnation as far as the host knows, in Unix milliseconds.
+	Target, Addr string
+	Born         int64
+	// SentAt is when the attempt began.
+	SentAt clock.Millis
+}
+
+// key identifies the incarnation of the target after a number of restarts that its Born
+// does not show.
+func (a Attempt) key(restarts int) uint32 {
+	return balance.Key(a.Target + "/" + strconv.FormatInt(a.Born, 10) + "/" + strconv.Itoa(restarts))
+}
 
 // Run initializes the register.
 func (r *Register) Run() { r.suspects = map[Fingerprint]*suspect{} }
@@ -61,16 +88,17 @@
 // Empty reports whether there are no suspects.
 func (r *Register) Empty() bool { return len(r.suspects) == 0 }
 
-// RecordCrash records that a target crashed while it ran a request. It reports
-// whether the request is in quarantine now.
-func (r *Register) RecordCrash(now clock.Millis, f Fingerprint, target uint32) bool {
+// RecordCrash records a crash of a target, by the key of its incarnation, while it ran a
+// request. A crash that several hosts report counts once. It reports whether the request
+// is in quarantine now.
+func (r *Register) RecordCrash(now clock.Millis, f Fingerprint, key uint32) bool {
 	r.expire(now)
 	s := r.suspects[f]
 	if s == nil {
-		s = &suspect{targets: map[uint32]bool{}}
+		s = newSuspect()
 		r.suspects[f] = s
 	}
-	s.targets[target] = true
+	s.crashes[key] = true
 	s.expiresAt = now + crashRetention
 	if !s.quarantined() {
 		return false
@@ -80,6 +108,34 @@
 	return true
 }
 
+// RecordAttemptCrash records that the target of an attempt of this host has crashed, and
+// whether it refused connections after that. It returns the key for RecordCrash at other
+// hosts.
+func (r *Register) RecordAttemptCrash(now clock.Millis, a Attempt, refused bool) (key uint32, quarantined bool) {
+	key = r.incarnationKey(a)
+	quarantined = r.RecordCrash(now, a.Fingerprint, key)
+	if refused {
+		r.suspects[a.Fingerprint].refusedAt[key] = now
+	}
+	return key, quarantined
+}
+
+// incarnationKey returns the key of the incarnation that received an attempt. A target that
+// had refused connections before the attempt has started again since, even if its
+// announcement has not arrived yet.
+func (r *Register) incarnationKey(a Attempt) uint32 {
+	s := r.suspects[a.Fingerprint]
+	for restarts := 0; ; restarts++ {
+		k := a.key(restarts)
+		if s == nil {
+			return k
+		}
+		if at, refused := s.refusedAt[k]; !refused || a.SentAt <= at {
+			return k
+		}
+	}
+}
+
 // RecordResponse records that a target responded to a request. It clears the request,
 // unless the control processes list it: only they can tell whether a later trial has
 // crashed its target. It reports whether the request was a suspect.
@@ -88,7 +144,8 @@
 	if s == nil {
 		return false
 	}
-	clear(s.targets)
+	clear(s.crashes)
+	clear(s.refusedAt)
 	if !s.listed {
 		delete(r.suspects, f)
 	}
@@ -106,7 +163,8 @@
 	for n := range listed {
 		f := Fingerprint(n)
 		if r.suspects[f] == nil {
-			r.suspects[f] = &suspect{targets: map[uint32]bool{}, notBefore: now}
+			r.suspects[f] = newSuspect()
+			r.suspects[f].notBefore = now
 		}
 		r.suspects[f].listed = true
 	}
@@ -133,7 +191,7 @@
 // hasCrashed reports whether the crashes that this host knows suffice for a quarantine.
 func (r *Register) hasCrashed(f Fingerprint) bool {
 	s := r.suspects[f]
-	return s != nil && len(s.targets) >= crashesToQuarantine
+	return s != nil && len(s.crashes) >= crashesToQuarantine
 }
 
 // expire removes the suspects whose crashes no longer count.
--- a/poison/register_test.go
+++ b/poison/register_test.go
@@ -70,12 +70,47 @@
 		Expect(r.Empty()).To(BeTrue())
 	})
 
-	It("does not quarantine a request if only one target crashes again and again: the target is the cause", func() {
+	It("does not quarantine a request because one crash of a target is reported again and again", func() {
 		for i := clock.Millis(0); i < 10; i++ {
 			Expect(r.RecordCrash(i*1000, 7, 1)).To(BeFalse())
 		}
 	})
 
+	crash := func(now clock.Millis, born int64, sentAt clock.Millis, refused bool) bool {
+		a := Attempt{Fingerprint: 7, Target: "t", Born: born, SentAt: sentAt}
+		_, q := r.RecordAttemptCrash(now, a, refused)
+		return q
+	}
+
+	// Guards against a target that starts again under its ID and crashes again and again.
+	It("counts the crash of each incarnation of a target", func() {
+		Expect(crash(100, 1, 0, true)).To(BeFalse())
+		Expect(crash(2000, 2, 1900, true)).To(BeFalse())
+		Expect(crash(4000, 3, 3900, true)).To(BeTrue())
+	})
+
+	// Guards against restarts whose announcements do not arrive, while the target is cut off
+	// from the control processes.
+	It("counts the crash of a target that answered again after it had refused connections", func() {
+		Expect(crash(100, 1, 0, true)).To(BeFalse())
+		Expect(crash(110, 1, 50, true)).To(BeFalse(), "both attempts reached one incarnation")
+		Expect(crash(2000, 1, 1900, true)).To(BeFalse())
+		Expect(crash(4000, 1, 3900, true)).To(BeTrue())
+	})
+
+	It("counts one crash of a target that cannot be reached, however often attempts break", func() {
+		for i := clock.Millis(0); i < 10; i++ {
+			Expect(crash(i*1000+100, 1, i*1000, false)).To(BeFalse())
+		}
+	})
+
+	It("does not quarantine a sound request that targets answer between their crashes", func() {
+		for i := clock.Millis(0); i < 10; i++ {
+			Expect(crash(i*1000+100, int64(i), i*1000, true)).To(BeFalse())
+			Expect(r.RecordResponse(7)).To(BeTrue())
+		}
+	})
+
 	It("clears a request that got a response", func() {
 		r.RecordCrash(0, 7, 1)
 		r.RecordCrash(1, 7, 2)
