--- a/slots/crash.go
+++ b/slots/crash.go
@@ -8,17 +8,17 @@
 )
 
 const (
-	// quarantineTargets is the number of different targets whose connections
-	// must break during a request before it is quarantined.
+	// quarantineTargets is the number of different incarnations of targets whose
+	// connections must break during a request before it is quarantined.
 	quarantineTargets = 2
 	// crashRetention is how long a broken connection counts against a request.
 	crashRetention = 60 * clock.Second
 	quarantineTime = 60 * clock.Second
 )
 
-// crash records the targets whose connections broke during a request.
+// crash records the incarnations of targets whose connections broke during a request.
 type crash struct {
-	targets   map[string]bool
+	incarnations map[string]bool
 	expiresAt clock.Millis
 	// quarantinedUntil is 0 if the request is not quarantined.
 	quarantinedUntil clock.Millis
@@ -70,14 +70,14 @@
 	t.stats.diedAt[r.Fingerprint] = now
 	x := p.crashes.byFingerprint[r.Fingerprint]
 	if x == nil {
-		x = &crash{targets: map[string]bool{}}
+		x = &crash{incarnations: map[string]bool{}}
 		p.crashes.byFingerprint[r.Fingerprint] = x
 	}
-	x.targets[t.ann.Target] = true
+	x.incarnations[t.ann.Target+"/"+t.ann.Incarnation] = true
 	x.expiresAt = now + crashRetention
-	if len(x.targets) >= quarantineTargets && x.quarantinedUntil == 0 {
+	if len(x.incarnations) >= quarantineTargets && x.quarantinedUntil == 0 {
 		x.quarantinedUntil = now + quarantineTime
-		p.recordEvent(journal.Quarantined, r.Fingerprint, "connections to targets broke during this request", fmt.Sprint(len(x.targets)))
+		p.recordEvent(journal.Quarantined, r.Fingerprint, "connections to targets broke during this request", fmt.Sprint(len(x.incarnations)))
 		p.refuseQuarantined(now, r.Fingerprint)
 	}
 }
--- a/slots/snapshot.go
+++ b/slots/snapshot.go
@@ -26,7 +26,7 @@
 }
 
 // CrashSnapshot is the state of one request during which connections to targets
-// broke. RememberedFor is the time left until the broken connections no longer
+// broke. Targets identify the incarnations of these. RememberedFor is the time left until the broken connections no longer
 // count, QuarantinedFor the time left of the request's quarantine.
 type CrashSnapshot struct {
 	Fingerprint    string
@@ -50,7 +50,7 @@
 	}
 	for f, x := range p.crashes.byFingerprint {
 		c := CrashSnapshot{Fingerprint: f, RememberedFor: x.expiresAt - now, QuarantinedFor: max(x.quarantinedUntil-now, 0)}
-		for t := range x.targets {
+		for t := range x.incarnations {
 			c.Targets = append(c.Targets, t)
 		}
 		s.Crashes = append(s.Crashes, c)
@@ -66,9 +66,9 @@
 		p.applyTarget(now, x)
 	}
 	for _, c := range s.Crashes {
-		x := &crash{targets: map[string]bool{}, expiresAt: now + c.RememberedFor}
+		x := &crash{incarnations: map[string]bool{}, expiresAt: now + c.RememberedFor}
 		for _, t := range c.Targets {
-			x.targets[t] = true
+			x.incarnations[t] = true
 		}
 		if c.QuarantinedFor > 0 {
 			x.quarantinedUntil = now + c.QuarantinedFor
