--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -324,6 +324,13 @@
 		Entry("no host", func(c *Config) { c.Routes[0].Host = "" }),
 		Entry("unknown kind", func(c *Config) { c.Routes[0].Kind = "odd" }),
 		Entry("key of two accounts", func(c *Config) { c.Accounts = append(c.Accounts, Account{Name: "y", Keys: []string{"k"}}) }),
+		// Guards against an account whose second block replaces its limits.
+		Entry("two accounts of one name with the same key", func(c *Config) {
+			c.Accounts = append(c.Accounts, Account{Name: c.Accounts[0].Name, Keys: c.Accounts[0].Keys, Rate: 1000, Burst: 1000})
+		}),
+		Entry("two accounts of one name with different keys", func(c *Config) {
+			c.Accounts = append(c.Accounts, Account{Name: c.Accounts[0].Name, Keys: []string{"other"}})
+		}),
 		Entry("no timeout", func(c *Config) { c.Routes[0].Timeout = 0 }),
 		Entry("two routes with the same host and prefix", func(c *Config) { c.Routes[0].Prefix = c.Routes[1].Prefix }),
 		Entry("service without a name", func(c *Config) { c.Services[0].Name = "" }),
--- a/catalog/config.go
+++ b/catalog/config.go
@@ -105,6 +105,8 @@
 	Services []Service
 	Accounts []Account
 	Limits   Limits
+	// HostsWithoutRoutes are the host names that are listed without a route.
+	HostsWithoutRoutes []string
 
 	// byPath holds routes by host name and path prefix.
 	byPath    map[string]map[string]*Route
--- a/catalog/validate.go
+++ b/catalog/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -54,21 +55,30 @@
 		}
 		routeAt[place] = r.Name
 	}
-	return c.validateKeys()
+	if slices.Contains(c.HostsWithoutRoutes, "") {
+		return Invalid{"host", "has no name"}
+	}
+	return c.validateAccounts()
 }
 
-func (c *Config) validateKeys() error {
+func (c *Config) validateAccounts() error {
+	names := map[string]bool{}
 	accountOf := map[string]string{}
 	for _, a := range c.Accounts {
+		item := "account " + a.Name
 		if a.Name == "" {
 			return Invalid{"account", "has no name"}
 		}
+		if names[a.Name] {
+			return Invalid{item, "is listed twice"}
+		}
+		names[a.Name] = true
 		if !(a.Rate >= 0 && a.Rate <= maxRate && a.Burst >= 0 && a.Burst <= maxRate) {
-			return Invalid{"account " + a.Name, "has a rate or burst that is out of range"}
+			return Invalid{item, "has a rate or burst that is out of range"}
 		}
 		for _, k := range a.Keys {
 			if other, ok := accountOf[k]; ok && other != a.Name {
-				return Invalid{"account " + a.Name, "shares a key with " + other}
+				return Invalid{item, "shares a key with " + other}
 			}
 			accountOf[k] = a.Name
 		}
