--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -88,12 +88,36 @@
 			p = append(p, q...)
 		}
 	}
+	p = append(p, c.duplicates()...)
 	if len(p) > 0 {
 		return p
 	}
 	return nil
 }
 
+// duplicates returns a problem for each part that is listed twice. Of two such parts the
+// last one would come into force, and each Diff would find the first one changed.
+func (c *Configuration) duplicates() config.Problems {
+	var p config.Problems
+	listed := map[string]bool{}
+	check := func(path, name string) {
+		if listed[path+" "+name] {
+			p = append(p, config.Problem{Path: path, Got: name, Expected: "each name once"})
+		}
+		listed[path+" "+name] = true
+	}
+	for _, a := range c.Accounts {
+		check("accounts.name", a.Name)
+	}
+	for _, s := range c.Services {
+		check("services.name", s.Name)
+	}
+	for _, r := range c.Routes {
+		check("routes.prefix", r.Prefix)
+	}
+	return p
+}
+
 // edits returns the edits that add or replace every part of the configuration.
 func (c *Configuration) edits() []config.Edit {
 	var l []config.Edit
