--- /dev/null
+++ b/coordinator/limits_orders_test.go
@@ -0,0 +1,208 @@
+package coordinator_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/carawayrack/carawayrack/catalog"
+	"github.com/carawayrack/carawayrack/clock"
+)
+
+var (
+	limitsSeed = flag.Int64("limits.seed", 1, "first seed of the random orders of events")
+	limitsRuns = flag.Int("limits.runs", 2000, "number of random orders of events")
+)
+
+// A disruption begins at once and returns how it ends.
+type disruption struct {
+	name  string
+	begin func(m *limitsModel) (end func())
+}
+
+func ofZone(z string) func(string, string) bool {
+	return func(_, zone string) bool { return zone == z }
+}
+
+func cut(m *limitsModel, side func(name, zone string) bool, both bool) func() {
+	m.cutOff(side, both, 1)
+	return func() { m.cutOff(side, both, -1) }
+}
+
+func nothing() {}
+
+// disruptions are those of the leader, of other control processes, of hosts and of the
+// configuration.
+var disruptions = []disruption{
+	{"leader's zone cut off", func(m *limitsModel) func() {
+		c := m.leader()
+		if c == nil {
+			return nothing
+		}
+		return cut(m, ofZone(c.zone), true)
+	}},
+	{"leader cut off from the control processes", func(m *limitsModel) func() {
+		c := m.leader()
+		if c == nil {
+			return nothing
+		}
+		for _, x := range m.cores {
+			m.cut[[2]string{c.addr, x.addr}]++
+			m.cut[[2]string{x.addr, c.addr}]++
+		}
+		return func() {
+			for _, x := range m.cores {
+				m.cut[[2]string{c.addr, x.addr}]--
+				m.cut[[2]string{x.addr, c.addr}]--
+			}
+		}
+	}},
+	{"leader cut off from all", func(m *limitsModel) func() {
+		c := m.leader()
+		if c == nil {
+			return nothing
+		}
+		return cut(m, func(n, _ string) bool { return n == c.addr }, true)
+	}},
+	{"leader cut off from one side", func(m *limitsModel) func() {
+		c := m.leader()
+		if c == nil {
+			return nothing
+		}
+		return cut(m, func(n, _ string) bool { return n == c.addr }, false)
+	}},
+	{"leader frozen", func(m *limitsModel) func() { return freeze(m.leader()) }},
+	{"leader killed", func(m *limitsModel) func() { return kill(m, m.leader()) }},
+	{"control process frozen", func(m *limitsModel) func() { return freeze(m.cores[m.r.Intn(len(m.cores))]) }},
+	{"control process killed", func(m *limitsModel) func() { return kill(m, m.cores[m.r.Intn(len(m.cores))]) }},
+	{"all control processes killed", func(m *limitsModel) func() {
+		for _, c := range m.cores {
+			kill(m, c)
+		}
+		return nothing
+	}},
+	{"zone cut off", func(m *limitsModel) func() { return cut(m, ofZone(m.hosts[m.r.Intn(len(m.hosts))].zone), true) }},
+	{"host cut off", func(m *limitsModel) func() {
+		h := m.hosts[m.r.Intn(len(m.hosts))]
+		return cut(m, func(n, _ string) bool { return n == h.id }, m.r.Intn(2) == 0)
+	}},
+	{"hosts frozen", func(m *limitsModel) func() {
+		var l []*modelHost
+		for _, h := range m.hosts {
+			if m.r.Intn(3) == 0 {
+				h.frozenUntil = m.now + 60*clock.Second
+				l = append(l, h)
+			}
+		}
+		return func() {
+			for _, h := range l {
+				h.frozenUntil = m.now
+			}
+		}
+	}},
+	{"hosts restarted", func(m *limitsModel) func() {
+		for _, h := range m.hosts {
+			if m.r.Intn(3) == 0 {
+				h.start()
+				h.downUntil = m.now + clock.Millis(m.r.Intn(1500))
+			}
+		}
+		return nothing
+	}},
+	{"messages lost and late", func(m *limitsModel) func() {
+		m.loss, m.delay = 0.2, 300
+		return func() { m.loss, m.delay = 0, 6 }
+	}},
+	{"account removed and put back", func(m *limitsModel) func() {
+		m.configure(m.accounts[1:]...)
+		return func() { m.configure(m.accounts...) }
+	}},
+	{"limits lowered and raised", func(m *limitsModel) func() {
+		l := slices.Clone(m.accounts)
+		l[0].Rate, l[0].Burst = l[0].Rate/2, l[0].Burst/4
+		m.configure(l...)
+		return func() { m.configure(m.accounts...) }
+	}},
+}
+
+func freeze(c *modelCore) func() {
+	if c == nil {
+		return nothing
+	}
+	c.frozenUntil = c.m.now + 60*clock.Second
+	return func() { c.frozenUntil = c.m.now }
+}
+
+// kill ends a control process, which starts again some time later.
+func kill(m *limitsModel, c *modelCore) func() {
+	if c == nil {
+		return nothing
+	}
+	c.process, c.downUntil = nil, m.now+clock.Millis(50+m.r.Intn(3000))
+	return nothing
+}
+
+// order plays disruptions in a random order with random lengths, two at once at times,
+// while an account asks for several times its rate and another one for part of it.
+func order(seed int64, only ...int) (m *limitsModel, events string) {
+	r := rand.New(rand.NewSource(seed))
+	rate := float64(20 + r.Intn(100))
+	burst := rate * []float64{0.2, 1, 1, 2.5}[r.Intn(4)]
+	rush := catalog.Account{Name: "rush", Rate: rate, Burst: burst}
+	steady := catalog.Account{Name: "steady", Rate: 50, Burst: 50}
+	m = newLimitsModel(seed, 1+r.Intn(4), 3+2*r.Intn(2), 1+r.Intn(4), rush, steady)
+	m.load["steady"] = 50 * (0.5 + 0.4*r.Float64())
+	m.load["rush"] = rate * r.Float64()
+	m.run(clock.Millis(1000 + r.Intn(3000)))
+	rushAt := m.now + clock.Millis(r.Intn(3000))
+	type ending struct {
+		at clock.Millis
+		do func()
+	}
+	var ends []ending
+	next := m.now + clock.Millis(r.Intn(3000))
+	for end := m.now + 12*clock.Second; m.now < end; m.run(25) {
+		if m.now >= rushAt {
+			m.load["rush"] = rate * 6
+		}
+		due := ends
+		ends = nil
+		for _, e := range due {
+			if m.now < e.at {
+				ends = append(ends, e)
+				continue
+			}
+			e.do()
+		}
+		if m.now >= next && len(ends) < 2 {
+			k := r.Intn(len(disruptions))
+			if len(only) > 0 {
+				k = only[r.Intn(len(only))]
+			}
+			events += fmt.Sprintf(" %d:%s", m.now-1_000_000, disruptions[k].name)
+			ends = append(ends, ending{m.now + clock.Millis(100+r.Intn(5000)), disruptions[k].begin(m)})
+			next = m.now + clock.Millis(300+r.Intn(4000))
+		}
+	}
+	return m, events
+}
+
+var _ = Describe("limits over all hosts and control processes", func() {
+	It("hold in every window through random orders of disruptions", func() {
+		var failed []string
+		for seed := *limitsSeed; seed < *limitsSeed+int64(*limitsRuns); seed++ {
+			m, events := order(seed)
+			for _, a := range []string{"rush", "steady"} {
+				if x, at := m.excess(a); x > 0 {
+					failed = append(failed, fmt.Sprintf("seed %d: %s has %.0f more than %.0f from %d on;%s", seed, a, x, m.allowed(a, at), at-1_000_000, events))
+				}
+			}
+		}
+		Expect(failed).To(BeEmpty(), "%d: %s", len(failed), strings.Join(failed[:min(len(failed), 30)], "\n"))
+	})
+})
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -30,6 +30,8 @@
 	Failed func(error)
 	// LeaderChanged is called when this replica learns of another leader.
 	LeaderChanged func()
+	// Random returns a number in [0, n). The default is that of math/rand.
+	Random func(n int) int
 	// Respond sends the response to a request that was kept waiting.
 	Respond func(*actor.PID, any)
 
@@ -120,11 +122,7 @@
 	case *actor.Started:
 		r.start(now)
 	case *tick:
-		r.node.Tick(now)
-		r.requestProof(now)
-		r.reviewMembers(now)
-		r.reviewRollouts(now)
-		r.reviewTargets(now)
+		r.tick(now)
 	case *deliver:
 		r.inbox = append(r.inbox, m.Messages...)
 		r.requestFlush(c)
@@ -150,6 +148,15 @@
 	r.afterMessage(now)
 }
 
+// tick does what is due. The owner calls it every tickInterval.
+func (r *Replica) tick(now clock.Millis) {
+	r.node.Tick(now)
+	r.requestProof(now)
+	r.reviewMembers(now)
+	r.reviewRollouts(now)
+	r.reviewTargets(now)
+}
+
 // handleBorrow handles a request for tokens.
 func (r *Replica) handleBorrow(now clock.Millis, a BorrowArgs) BorrowReply {
 	r.checkLeadership(now)
@@ -195,6 +202,9 @@
 }
 
 func (r *Replica) start(now clock.Millis) {
+	if r.Random == nil {
+		r.Random = rand.IntN
+	}
 	r.state = catalog.New(r.Translate)
 	r.proposals = map[uint64]*pendingProposal{}
 	r.leaving = map[string]clock.Millis{}
@@ -206,7 +216,7 @@
 	r.lender.run()
 	r.node = &replica.Node{
 		ID: r.ID, ElectionTimeout: electionTimeout, Heartbeat: heartbeat, CompactAfter: compactAfter, FirstElectionTimeout: firstElectionTimeout,
-		Random: rand.IntN, Storage: r.Storage, Apply: r.apply, Capture: r.capture, Restore: r.restore,
+		Random: r.Random, Storage: r.Storage, Apply: r.apply, Capture: r.capture, Restore: r.restore,
 		Sequence:         func() uint64 { return r.state.Sequence },
 		ProposalsWaiting: func() bool { return len(r.batch) > 0 },
 		OnViolation:      r.Failed,
