--- a/slots/crash.go
+++ b/slots/crash.go
@@ -19,7 +19,7 @@
 // crash records the incarnations of targets whose connections broke during a request.
 type crash struct {
 	incarnations map[string]bool
-	expiresAt clock.Millis
+	expiresAt    clock.Millis
 	// quarantinedUntil is 0 if the request is not quarantined.
 	quarantinedUntil clock.Millis
 }
