--- a/coordinator/lender.go
+++ b/coordinator/lender.go
@@ -35,43 +35,31 @@
 	l.caches = map[string]*quota.Cache{}
 }
 
-// setLeading is called when the role changes. A new leader starts with takeover
-// buckets.
+// setLeading is called when the role changes. A new leader does not know which tokens
+// were lent before, so that its buckets begin with takeoverTokens.
 func (l *lender) setLeading(now clock.Millis, leading bool, c *catalog.Config) {
 	l.leading, l.ledAt = leading, now
 	l.buckets = map[string]*quota.Bucket{}
-	if !leading || c == nil {
-		return
-	}
-	for _, a := range c.Accounts {
-		if a.Rate > 0 {
-			l.buckets[a.Name] = takeoverBucket(now, a)
-		}
-	}
+	l.setLimits(now, c)
 }
 
-// takeoverBucket returns a bucket for an account whose tokens the former leader
-// lent. It is only partly filled, since those tokens may still be spent.
-func takeoverBucket(now clock.Millis, a catalog.Account) *quota.Bucket {
+// newBucket returns the bucket of an account that the leader sees for the first time. It
+// has been filling up since the leader began to lead, also if the account is new: the
+// former leader may have lent tokens of it.
+func (l *lender) newBucket(a catalog.Account) *quota.Bucket {
 	b := &quota.Bucket{Rate: a.Rate, Burst: a.Burst}
-	b.Run(now, min(takeoverShare+takeoverTokens/max(a.Burst, 1), 1))
+	b.Run(l.ledAt, min(takeoverTokens/max(a.Burst, 1), 1))
 	return b
 }
 
-// takeoverPeriod is the time after which a new leader is assumed to have applied
-// everything that was accepted before it led.
-const takeoverPeriod = 1 * clock.Second
-
-// setLimits applies the limits of a new configuration. An account that is new
-// to this process gets a full bucket only after takeoverPeriod: a configuration
-// that a new leader applies earlier was in force under the former leader, which
-// may just have lent tokens of the account.
+// setLimits applies the limits of a new configuration. The bucket of an account that the
+// configuration lacks is kept until it is full, for the case that the account comes back.
 func (l *lender) setLimits(now clock.Millis, c *catalog.Config) {
 	if c == nil {
 		return
 	}
-	for n := range l.buckets {
-		if a := c.Account(n); a == nil || a.Rate <= 0 {
+	for n, b := range l.buckets {
+		if a := c.Account(n); (a == nil || a.Rate <= 0) && b.Full(now) {
 			delete(l.buckets, n)
 		}
 	}
@@ -81,14 +69,13 @@
 		} else {
 			l.caches[a.Name] = &quota.Cache{MaxPrefetch: int(a.Rate * cacheShare)}
 		}
+		if a.Rate <= 0 || !l.leading {
+			continue
+		}
 		if b := l.buckets[a.Name]; b != nil {
-			b.Rate, b.Burst = a.Rate, a.Burst
-		} else if l.leading && a.Rate > 0 {
-			b := takeoverBucket(now, a)
-			if now-l.ledAt >= takeoverPeriod {
-				b.Run(now, 1)
-			}
-			l.buckets[a.Name] = b
+			b.SetLimit(now, a.Rate, a.Burst)
+		} else {
+			l.buckets[a.Name] = l.newBucket(a)
 		}
 	}
 }
--- a/coordinator/lender_test.go
+++ b/coordinator/lender_test.go
@@ -26,20 +26,55 @@
 		l := newLender()
 		l.setLeading(5000, true, nil)
 		l.setLimits(5020, config)
-		Expect(float64(lendAll(l, 5020))).To(BeNumerically("<=", takeoverShare*20+takeoverTokens))
+		Expect(float64(lendAll(l, 5020))).To(BeNumerically("<=", float64(takeoverTokens)))
 	})
 
 	It("lends no second burst when it becomes leader with the configuration applied", func() {
 		l := newLender()
 		l.setLeading(5000, true, config)
 		l.setLimits(5020, config)
-		Expect(float64(lendAll(l, 5020))).To(BeNumerically("<=", takeoverShare*20+takeoverTokens))
+		Expect(float64(lendAll(l, 5020))).To(BeNumerically("<=", float64(takeoverTokens)))
 	})
 
 	It("lends the whole burst of a new account", func() {
 		l := newLender()
 		l.setLeading(5000, true, &catalog.Config{})
-		l.setLimits(5000+takeoverPeriod, config)
-		Expect(lendAll(l, 5000+takeoverPeriod)).To(Equal(20))
+		l.setLimits(6000, config)
+		Expect(lendAll(l, 6000)).To(Equal(20))
+	})
+
+	// Guards against an account that gets its burst twice because a configuration lacked it
+	// for a moment.
+	It("lends no second burst of an account that is removed and put back", func() {
+		l := newLender()
+		l.setLeading(5000, true, config)
+		Expect(lendAll(l, 60_000)).To(Equal(20))
+		l.setLimits(60_000, &catalog.Config{})
+		l.setLimits(60_100, config)
+		Expect(lendAll(l, 60_100)).To(Equal(2))
+	})
+
+	It("lends no burst of an account that comes back just after the leader has changed", func() {
+		l := newLender()
+		l.setLeading(5000, true, &catalog.Config{})
+		l.setLimits(5500, config)
+		Expect(lendAll(l, 5500)).To(Equal(takeoverTokens + 10))
+	})
+
+	It("forgets an account that is removed once its bucket is full", func() {
+		l := newLender()
+		l.setLeading(5000, true, config)
+		l.setLimits(60_000, &catalog.Config{})
+		l.setLimits(60_000, &catalog.Config{})
+		Expect(l.buckets).To(BeEmpty())
+	})
+
+	It("lends the tokens of a raised limit from the change on, not for the time before", func() {
+		l := newLender()
+		l.setLeading(5000, true, config)
+		Expect(lendAll(l, 60_000)).To(Equal(20))
+		l.setLimits(60_100, &catalog.Config{Accounts: []catalog.Account{{Name: "x", Rate: 1000, Burst: 1000}}})
+		Expect(lendAll(l, 60_100)).To(Equal(2))
+		Expect(lendAll(l, 60_200)).To(Equal(100))
 	})
 })
--- a/coordinator/settings.go
+++ b/coordinator/settings.go
@@ -53,11 +53,9 @@
 	// requestTimeout bounds a request to the replica, also that of another
 	// control process.
 	requestTimeout = 900 * clock.Millis(1)
-	// takeoverShare is the share of an account's burst that a new leader starts
-	// with, since tokens that the former leader lent may still be spent.
-	takeoverShare = 0.1
-	// takeoverTokens are added to that. They are a quarter of the tokens that
-	// the users' quotas allow beyond rate and burst in any window.
+	// takeoverTokens are the tokens with which the bucket of an account begins at a new
+	// leader. They are a quarter of those that the users' quotas allow beyond rate and
+	// burst in any window.
 	takeoverTokens = 5
 	// removeSurplusAfter and removeLostAfter are the times without a response
 	// after which a voter is removed: with an even number of voters, where
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -61,6 +61,12 @@
 	b.level = min(b.level+float64(n), max(b.Burst, 1))
 }
 
+// Full reports whether the bucket can take no more tokens.
+func (b *Bucket) Full(now clock.Millis) bool {
+	b.refill(now)
+	return b.level >= b.Burst
+}
+
 // Wait returns the time until a token can be lent, 0 if one can be lent now or
 // the rate is 0.
 func (b *Bucket) Wait(now clock.Millis) clock.Millis {
