--- a/replica/election.go
+++ b/replica/election.go
@@ -24,6 +24,7 @@
 func (n *Node) requestVotes(now clock.Millis, k Kind, term uint64) {
 	n.resetElectionDeadline(now)
 	n.votes = map[string]bool{n.ID: true}
+	n.forgotten = now + n.forgottenLease(now)
 	i, t := n.Last()
 	for _, id := range n.otherIDs() {
 		if _, voter := n.members.Voters[id]; voter {
@@ -55,7 +56,17 @@
 		}
 		n.resetElectionDeadline(now)
 	}
-	n.send(Message{Kind: VoteResponse, To: m.From, Granted: ok})
+	n.send(Message{Kind: VoteResponse, To: m.From, Granted: ok, Forgotten: n.forgottenLease(now)})
+}
+
+// forgottenLease returns the time left of the longest lease of a leader to which the
+// replica may have responded before it started. It has not responded to any if its disk
+// was empty.
+func (n *Node) forgottenLease(now clock.Millis) clock.Millis {
+	if n.startTerm == 0 {
+		return 0
+	}
+	return max(n.startedAt+n.ElectionTimeout-now, 0)
 }
 
 func (n *Node) stepVoteResponse(now clock.Millis, m Message) {
@@ -68,6 +79,7 @@
 		return
 	}
 	n.votes[m.From] = true
+	n.forgotten = max(n.forgotten, now+m.Forgotten)
 	n.countVotes(now)
 }
 
--- a/replica/election_test.go
+++ b/replica/election_test.go
@@ -97,6 +97,59 @@
 	})
 })
 
+// run runs the replicas without the one that is cut off, and asserts that no two of all
+// have a lease at once.
+func (e *electorate) run(d clock.Millis, cutOff string) {
+	var inFlight []Message
+	for end := e.now + d; e.now < end; e.now++ {
+		due, leases := inFlight, 0
+		inFlight = nil
+		for _, m := range due {
+			if m.To != cutOff && m.From != cutOff {
+				e.nodes[m.To].Step(e.now, m)
+			}
+		}
+		for _, id := range []string{"a.founder", "b.founder", "c.founder"} {
+			n := e.nodes[id]
+			n.Tick(e.now)
+			inFlight = append(inFlight, n.TakeMessages()...)
+			if from, until := n.Lease(); from <= e.now && e.now < until {
+				leases++
+			}
+		}
+		Expect(leases).To(BeNumerically("<=", 1), "at %d", e.now)
+	}
+}
+
+var _ = ginkgo.Describe("a lease", func() {
+	// Guards against a voter that forgets with a restart that it has just responded to the
+	// leader, which is cut off and goes on for the rest of its lease.
+	ginkgo.It("begins only after the last one although a voter has restarted meanwhile", func() {
+		for seed := int64(1); seed <= 50; seed++ {
+			e := newElectorate(seed)
+			e.run(3000, "")
+			l := e.nodes["a.founder"].LeaderID()
+			var others []string
+			for id := range e.nodes {
+				if id != l {
+					others = append(others, id)
+				}
+			}
+			e.run(1000, others[0])
+			v := e.nodes[others[1]]
+			e.start(v.ID, PersistentState{Vote: v.vote, Entries: v.entries})
+			e.run(3000, l)
+			led := 0
+			for _, id := range others {
+				if _, until := e.nodes[id].Lease(); until > e.now {
+					led++
+				}
+			}
+			Expect(led).To(Equal(1), "seed %d", seed)
+		}
+	})
+})
+
 var _ = ginkgo.Describe("a learner", func() {
 	// Guards against a learner that asks a dead leader for ever to be admitted, because its
 	// admission was not replicated before that leader died.
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -28,6 +28,7 @@
 	n.rounds = map[uint64]Proof{}
 	n.proof = Proof{}
 	n.leadingAt = now
+	n.roundAt, n.leaseFrom = 0, max(now, n.forgotten)
 	i, _ := n.Last()
 	n.termStart = i + 1
 	// A leader may only commit entries of its own term. Committing an empty one
@@ -128,6 +129,16 @@
 	return n.leadingAt
 }
 
+// Lease returns the time in which no other replica has a lease, by this replica's clock: the
+// voters of a majority have responded to it and grant no other vote before the end. Both
+// are zero if this replica does not lead, or no majority has responded to it yet.
+func (n *Node) Lease() (from, until clock.Millis) {
+	if n.role != Leader || n.roundAt == 0 {
+		return 0, 0
+	}
+	return n.leaseFrom, n.roundAt + n.ElectionTimeout
+}
+
 // LastProof returns the newest proof of leadership, zero if there is none or the
 // replica is not the leader.
 func (n *Node) LastProof() Proof {
@@ -222,6 +233,7 @@
 	}
 	r := quorumValue(l, n.members.Quorum())
 	if p, ok := n.rounds[r]; ok {
+		n.roundAt = max(n.roundAt, p.At)
 		if p.Index >= n.termStart {
 			n.proof = p
 		} else if p.At > n.leadingAt {
--- a/replica/message.go
+++ b/replica/message.go
@@ -37,6 +37,9 @@
 	// Granted is true in the response to a vote request or an append request
 	// that succeeded.
 	Granted bool
+	// Forgotten is set in the vote of a replica that has restarted: the time for which a
+	// leader that it has forgotten may still have a lease.
+	Forgotten clock.Millis
 	// Round is the number of the leader's broadcast. Responses repeat it, so
 	// that those of a majority prove that the leader still led when it sent the
 	// broadcast.
--- a/replica/node.go
+++ b/replica/node.go
@@ -36,8 +36,8 @@
 	// FirstElectionTimeout, if set, replaces ElectionTimeout until the replica
 	// has contact with a leader for the first time since its start, and lets a
 	// restarted replica grant votes at once. It doubles with each term that begins
-	// in that time, up to ElectionTimeout. It must be left unset where a
-	// proof of leadership is taken to hold beyond its time At, as a lease is.
+	// in that time, up to ElectionTimeout. A proof of leadership then says nothing of
+	// the time after its time At; see Lease for what does.
 	FirstElectionTimeout clock.Millis
 	// CompactAfter is the number of applied entries after which a snapshot
 	// replaces them.
@@ -93,6 +93,14 @@
 	leadingAt clock.Millis
 	// termStart is the index of the first entry of the leader's term.
 	termStart uint64
+	// roundAt is when the newest round that a majority has responded to was sent, zero
+	// if there is none in this term. leaseFrom is when no former leader has a lease any more.
+	roundAt   clock.Millis
+	leaseFrom clock.Millis
+	// startedAt is when the replica started. forgotten is the end of the longest lease that
+	// a voter of the present election may have forgotten with a restart.
+	startedAt clock.Millis
+	forgotten clock.Millis
 	// messagesSent counts the append and snapshot messages of this replica.
 	messagesSent uint64
 	// halted is set when a write to the disk has failed, or the leader has rejected
@@ -107,6 +115,7 @@
 // used and stored if the disk holds none, which is so on disks of earlier versions.
 func (n *Node) Run(now clock.Millis, d PersistentState, initial Members) {
 	n.role = Follower
+	n.startedAt = now
 	n.vote = d.Vote
 	n.startTerm = d.Vote.Term
 	n.snapshot = d.Snapshot
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -89,6 +89,8 @@
 	// one case number in disturb. Stops and starts have several numbers and are
 	// drawn more often.
 	disturbInterval int
+	// firstElection is the first election timeout of the replicas.
+	firstElection clock.Millis
 	// batches, if set, makes replicas get proposals and messages in batches.
 	batches *rand.Rand
 }
@@ -103,6 +105,9 @@
 	if seed%2 == 0 {
 		c.disturbInterval = 800
 	}
+	if seed%8 >= 4 {
+		c.firstElection = testElection / 10
+	}
 	if seed%4 >= 2 {
 		c.batches = rand.New(rand.NewSource(seed))
 	}
@@ -123,7 +128,7 @@
 	m.applied = nil
 	m.lastProof = Proof{}
 	m.node = &Node{
-		ID: m.id, ElectionTimeout: testElection, Heartbeat: testHeartbeat, CompactAfter: 20, Random: c.r.Intn,
+		ID: m.id, ElectionTimeout: testElection, FirstElectionTimeout: c.firstElection, Heartbeat: testHeartbeat, CompactAfter: 20, Random: c.r.Intn,
 		Storage: Storage{
 			Save: func(v Vote, e []Entry) error {
 				if err := m.write(); err != nil {
@@ -238,6 +243,22 @@
 		c.proposeWaiting(m)
 	}
 	c.propose()
+	c.checkLeases()
+}
+
+// checkLeases asserts that no two replicas have a lease at the same time.
+func (c *cluster) checkLeases() {
+	holder := ""
+	for _, id := range c.ids() {
+		m := c.machines[id]
+		if !m.up || m.frozenUntil > c.now {
+			continue
+		}
+		if from, until := m.node.Lease(); from <= c.now && c.now < until {
+			Expect(holder).To(BeEmpty(), "%s has a lease too at %d, until %d", id, c.now, until)
+			holder = id
+		}
+	}
 }
 
 // deliver delivers messages one by one, or the append requests of one leader to the
