--- a/controlplane/client.go
+++ b/controlplane/client.go
@@ -248,7 +248,7 @@
 	wants, returns := l.Tokens.Wants(sent)
 	a := coordinator.ExchangeArgs{
 		Host:     l.host(),
-		Sequence: l.state.Sequence, Hosts: l.fleet.Digest, Deltas: true, Wants: wants, Returns: returns,
+		Sequence: l.state.Sequence, Hosts: l.fleet.Digest, Deltas: true, Wants: wants, Returns: returns, Spent: l.Tokens.Spent(),
 		Rollouts: l.Reports(sent), Instance: l.instance,
 	}
 	var p coordinator.ExchangeReply
@@ -257,6 +257,7 @@
 		return false
 	}
 	l.noteReply()
+	l.Tokens.Settle(a.Spent)
 	l.Tokens.Add(p.Grants)
 	if !p.Known || !l.apply(p.Update) {
 		return false
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -44,6 +44,8 @@
 	digest uint64
 	hosts  []Host
 	at     clock.Millis
+	// silent and leaving are as in the last report.
+	silent, leaving []string
 }
 
 func (t *fleetTable) run() {
@@ -116,6 +118,7 @@
 	}
 	x.core = Core{a.Addr, a.Zone}
 	x.at = now
+	x.silent, x.leaving = a.Silent, a.Leaving
 	// gob does not send an empty list. If the sender has no hosts, only the digest
 	// shows it.
 	if a.Hosts != nil || a.Digest == digest(nil, nil) {
--- a/coordinator/lender.go
+++ b/coordinator/lender.go
@@ -22,6 +22,11 @@
 	buckets map[string]*quota.Bucket
 	caches  map[string]*quota.Cache
 	leading bool
+	// lendFrom and lendUntil are the times of the leader's lease.
+	lendFrom, lendUntil clock.Millis
+	// spent holds the tokens that hosts have spent of their own parts, by account, until
+	// the next report to the leader.
+	spent map[string]int
 	// ledAt is when the role last changed: at the leader, when it began to lead.
 	ledAt clock.Millis
 	// leaderReplyAt is when the leader last responded to a report.
@@ -33,6 +38,7 @@
 func (l *lender) run() {
 	l.buckets = map[string]*quota.Bucket{}
 	l.caches = map[string]*quota.Cache{}
+	l.spent = map[string]int{}
 }
 
 // setLeading is called when the role changes. A new leader does not know which tokens
@@ -48,7 +54,8 @@
 // former leader may have lent tokens of it.
 func (l *lender) newBucket(a catalog.Account) *quota.Bucket {
 	b := &quota.Bucket{Rate: a.Rate, Burst: a.Burst}
-	b.Run(l.ledAt, min(takeoverTokens/max(a.Burst, 1), 1))
+	n := takeoverTokens + a.Rate*(1-OwnShare)*float64(leaseMargin)/1000
+	b.Run(l.ledAt, min(n/max(a.Burst, 1), 1))
 	return b
 }
 
@@ -100,6 +107,9 @@
 // does not lead returns the time until the leader is expected to have tokens
 // again, or else the leader's address.
 func (l *lender) borrow(now clock.Millis, a BorrowArgs) BorrowReply {
+	if l.leading && !l.mayLend(now) {
+		return BorrowReply{}
+	}
 	if l.leading {
 		k, w := l.lend(now, a.Account, a.Tokens+a.Ahead)
 		return BorrowReply{Tokens: k, Wait: w, Known: true}
@@ -120,6 +130,42 @@
 	return BorrowReply{Leader: l.leaderAddr}
 }
 
+// mayLend reports whether the leader may lend tokens: no other leader does so, and it
+// ceases before another one can begin.
+func (l *lender) mayLend(now clock.Millis) bool {
+	return now >= l.lendFrom && now < l.lendUntil-leaseMargin
+}
+
+// debit takes tokens that hosts have spent of their own parts off the buckets, or keeps them
+// for the report to the leader. While no leader replies none of them is counted: no tokens
+// are lent in that time, or the leader takes the hosts of this process as absent.
+func (l *lender) debit(now clock.Millis, spent map[string]int) {
+	for n, k := range spent {
+		if b := l.buckets[n]; l.leading && b != nil {
+			b.Debit(now, float64(k))
+		} else if !l.leading && now-l.leaderReplyAt <= leaderTimeout {
+			l.spent[n] += k
+		}
+	}
+}
+
+// debitAll takes the tokens of a time, in seconds, off each bucket.
+func (l *lender) debitAll(now clock.Millis, seconds float64) {
+	if seconds <= 0 {
+		return
+	}
+	for _, b := range l.buckets {
+		b.Debit(now, b.Rate*seconds)
+	}
+}
+
+// takeSpent returns the tokens that hosts have spent of their own parts since the last call.
+func (l *lender) takeSpent() map[string]int {
+	s := l.spent
+	l.spent = map[string]int{}
+	return s
+}
+
 // addLoan puts tokens that the leader lent into the account's cache, and records
 // how long the leader has none.
 func (l *lender) addLoan(now clock.Millis, m *loan) {
@@ -140,7 +186,7 @@
 	var g map[string]int
 	for n, k := range wants {
 		got := 0
-		if l.leading {
+		if l.leading && l.mayLend(now) {
 			got, _ = l.lend(now, n, k)
 		} else if p := l.caches[n]; p != nil && p.Spend(now, k) {
 			got = k
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -36,6 +36,9 @@
 	Wants map[string]int
 	// Returns are borrowed tokens that the host did not spend, by account.
 	Returns map[string]int
+	// Spent are the tokens that the host has spent of its own part of the rates while
+	// control processes replied, by account.
+	Spent map[string]int
 	// Rollouts are the host's counts of the running roll-outs, Instance tells its
 	// runs apart.
 	Rollouts []rollout.ServiceReport
@@ -110,6 +113,11 @@
 	// Wants are the tokens to prefetch, Returns the borrowed tokens that
 	// were not spent, by account.
 	Wants, Returns map[string]int
+	// Spent are the tokens that the sender's hosts have spent of their own parts.
+	Spent map[string]int
+	// Silent are the sender's hosts without an exchange for silentAfter, Leaving those
+	// that are about to stop.
+	Silent, Leaving []string
 	// Rollouts are the counts that hosts have sent since the last report.
 	Rollouts []rollout.HostReport
 }
--- a/coordinator/replica.go
+++ b/coordinator/replica.go
@@ -63,6 +63,7 @@
 	// rollouts holds the counts of the running roll-outs.
 	rollouts *rolloutTable
 	lender   *lender
+	absence  *absence
 	// leaving holds when processes that stop last asked the leader to leave, by
 	// replica ID.
 	leaving  map[string]clock.Millis
@@ -153,6 +154,7 @@
 	r.node.Tick(now)
 	r.requestProof(now)
 	r.reviewMembers(now)
+	r.reviewAbsence(now)
 	r.reviewRollouts(now)
 	r.reviewTargets(now)
 }
@@ -214,6 +216,7 @@
 	r.rollouts.run()
 	r.lender = &lender{}
 	r.lender.run()
+	r.absence = &absence{MaxAge: r.Settings.MaxConfigAge}
 	r.node = &replica.Node{
 		ID: r.ID, ElectionTimeout: electionTimeout, Heartbeat: heartbeat, CompactAfter: compactAfter, FirstElectionTimeout: firstElectionTimeout,
 		Random: r.Random, Storage: r.Storage, Apply: r.apply, Capture: r.capture, Restore: r.restore,
@@ -258,6 +261,7 @@
 // proofs, messages to send, and a change of the leader or of this replica's
 // role.
 func (r *Replica) afterMessage(now clock.Millis) {
+	r.lender.lendFrom, r.lender.lendUntil = r.node.Lease()
 	r.updateConfig()
 	r.applyProofs(now)
 	if m := r.node.TakeMessages(); len(m) > 0 {
@@ -265,6 +269,8 @@
 	}
 	if l := r.node.LeaderID(); l != r.leaderID {
 		r.leaderID = l
+		// The next leader lends from now on only.
+		r.lender.takeSpent()
 		if l != "" {
 			r.LeaderChanged()
 		}
@@ -273,6 +279,7 @@
 		r.Log.Info("role", zap.String("role", string(role)), zap.Uint64("term", r.node.Term()), zap.String("replica", r.ID))
 		r.lastRole = role
 		r.lender.setLeading(now, role == replica.Leader, r.state.Config)
+		r.absence.lead(now, r.fleet.lastFleet.Hosts)
 		r.fleet.setLeading(now, role == replica.Leader)
 		r.rollouts.reset()
 		if role != replica.Leader {
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -23,6 +23,7 @@
 	}
 	p.Fleet, p.FleetChange = r.fleet.history.update(r.fleet.list(now), a.Fleet, a.Deltas)
 	r.lender.returnTokens(now, a.Returns)
+	r.lender.debit(now, a.Spent)
 	p.Grants = r.lender.prefetch(now, a.Wants)
 	if proof := r.node.LastProof(); proof.At > 0 {
 		p.Proven, p.Age, p.Sequence = true, now-proof.At, proof.Sequence
@@ -44,10 +45,12 @@
 		return p
 	}
 	p.Args.Wants = r.lender.wants(now)
+	p.Args.Silent, p.Args.Leaving = r.fleet.silentHosts(now)
 	if a := r.leaderAddr(); a != "" {
 		p.To = []string{a}
 		p.Args.Rollouts = r.rollouts.takeRolloutReports(now)
 		p.Args.Returns = r.lender.surplus(now)
+		p.Args.Spent = r.lender.takeSpent()
 		return p
 	}
 	p.To = r.otherAddrs()
--- a/coordinator/settings.go
+++ b/coordinator/settings.go
@@ -20,6 +20,9 @@
 	Bootstrap bool
 	// Secret authenticates the processes of the fleet to each other.
 	Secret string
+	// MaxConfigAge is the age of a proof from which hosts take no requests, and so use no
+	// tokens of their own part.
+	MaxConfigAge clock.Millis
 	// Rollouts are the bounds of roll-outs.
 	Rollouts rollout.Settings
 }
@@ -53,10 +56,15 @@
 	// requestTimeout bounds a request to the replica, also that of another
 	// control process.
 	requestTimeout = 900 * clock.Millis(1)
+	// leaseMargin is the part of its lease in which a leader lends no tokens any more. It
+	// covers clocks of different speed and what hosts do until they know of it.
+	leaseMargin = 300 * clock.Millis(1)
+	// silentAfter is the time without an exchange or a report after which the leader
+	// takes a host as one that may use its own part of the rates.
+	silentAfter = 500 * clock.Millis(1)
 	// takeoverTokens are the tokens with which the bucket of an account begins at a new
-	// leader. They are a quarter of those that the users' quotas allow beyond rate and
-	// burst in any window.
-	takeoverTokens = 5
+	// leader, beside those of the time between two leases that hosts have not used.
+	takeoverTokens = 2
 	// removeSurplusAfter and removeLostAfter are the times without a response
 	// after which a voter is removed: with an even number of voters, where
 	// removing it makes the majority smaller, and with an odd one.
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -61,6 +61,12 @@
 	b.level = min(b.level+float64(n), max(b.Burst, 1))
 }
 
+// Debit takes n tokens that were spent without being lent. The level may fall below zero.
+func (b *Bucket) Debit(now clock.Millis, n float64) {
+	b.refill(now)
+	b.level -= n
+}
+
 // Full reports whether the bucket can take no more tokens.
 func (b *Bucket) Full(now clock.Millis) bool {
 	b.refill(now)
--- a/token/borrower.go
+++ b/token/borrower.go
@@ -4,6 +4,7 @@
 package token
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/carawayrack/carawayrack/catalog"
@@ -18,7 +19,7 @@
 	cacheShare = 0.3
 	// fallbackShare is the share that hosts use of their part of a rate while they
 	// cannot borrow.
-	fallbackShare = 0.7
+	fallbackShare = coordinator.OwnShare
 	// zoneLenderShare is the part of fallbackShare that the zone lenders of all zones
 	// together have; hosts whose zone lender does not respond have the rest.
 	zoneLenderShare = 0.55
@@ -65,6 +66,9 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
+	// spent holds the tokens spent of the host's own part while control processes
+	// replied, by account.
+	spent map[string]int
 	// lenderAt is when a control process last replied.
 	lenderAt clock.Millis
 	// fallbackUntil is the end of the time in which the host does not try to
@@ -81,7 +85,10 @@
 }
 
 // Run initializes the borrower.
-func (b *Borrower) Run() { b.accounts = map[string]*account{} }
+func (b *Borrower) Run() {
+	b.accounts = map[string]*account{}
+	b.spent = map[string]int{}
+}
 
 // find returns the tokens of an account; b.mu is held.
 func (b *Borrower) find(now clock.Millis, a *catalog.Account) *account {
@@ -258,6 +265,9 @@
 	p.fallback.Resume(b.lenderAt)
 	p.fallbackUsedAt = now
 	if p.fallback.Take(now, 1) == 1 {
+		if b.Reachable() {
+			b.spent[a.Name]++
+		}
 		return true, 0
 	}
 	return false, max(p.fallback.Wait(now), minRetryAfter)
@@ -273,6 +283,26 @@
 	return wants, returns
 }
 
+// Spent returns the tokens that were spent of the host's own part, by account, while control
+// processes replied. The leader takes them off what it lends; while none replies, it takes
+// them as spent anyway.
+func (b *Borrower) Spent() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.spent)
+}
+
+// Settle drops tokens that a control process knows as spent.
+func (b *Borrower) Settle(spent map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for n, k := range spent {
+		if b.spent[n] -= k; b.spent[n] <= 0 {
+			delete(b.spent, n)
+		}
+	}
+}
+
 // Add puts the tokens of a control process's reply, by account, into the caches.
 func (b *Borrower) Add(g map[string]int) {
 	b.mu.Lock()
