--- a/coordinator/lender.go
+++ b/coordinator/lender.go
@@ -6,9 +6,13 @@
 	"github.com/carawayrack/carawayrack/quota"
 )
 
-// cacheShare bounds the tokens that a control process prefetches for its hosts,
-// as a share of the account's tokens for one second.
-const cacheShare = 0.04
+const (
+	// cacheShare bounds the tokens that a control process prefetches for its hosts,
+	// as a share of the account's tokens for one second.
+	cacheShare = 0.04
+	// allCachesShare bounds those of all control processes together.
+	allCachesShare = 0.2
+)
 
 // leaderTimeout is the time without a response from the leader after which this
 // process no longer refers hosts to it, and responds that it cannot decide.
@@ -24,6 +28,9 @@
 	leading bool
 	// lendFrom and lendUntil are the times of the leader's lease.
 	lendFrom, lendUntil clock.Millis
+	// processes is the number of control processes, config the configuration of setLimits.
+	processes int
+	config    *catalog.Config
 	// spent holds the tokens that hosts have spent of their own parts, by account, until
 	// the next report to the leader.
 	spent map[string]int
@@ -70,12 +77,9 @@
 			delete(l.buckets, n)
 		}
 	}
+	l.config = c
+	l.sizeCaches()
 	for _, a := range c.Accounts {
-		if p := l.caches[a.Name]; p != nil {
-			p.MaxPrefetch = int(a.Rate * cacheShare)
-		} else {
-			l.caches[a.Name] = &quota.Cache{MaxPrefetch: int(a.Rate * cacheShare)}
-		}
 		if a.Rate <= 0 || !l.leading {
 			continue
 		}
@@ -87,6 +91,28 @@
 	}
 }
 
+// setProcesses sets the number of control processes.
+func (l *lender) setProcesses(n int) {
+	if n != l.processes {
+		l.processes = n
+		l.sizeCaches()
+	}
+}
+
+// sizeCaches sets the number of tokens that this process may prefetch for each account.
+func (l *lender) sizeCaches() {
+	if l.config == nil {
+		return
+	}
+	share := min(cacheShare, allCachesShare/float64(max(l.processes, 1)))
+	for _, a := range l.config.Accounts {
+		if l.caches[a.Name] == nil {
+			l.caches[a.Name] = &quota.Cache{}
+		}
+		l.caches[a.Name].MaxPrefetch = int(a.Rate * share)
+	}
+}
+
 // lend lends up to n tokens from the leader's bucket. If it has none, it
 // returns the time until it has one. It returns zeros for an account without a
 // bucket.
--- a/coordinator/lender_test.go
+++ b/coordinator/lender_test.go
@@ -64,6 +64,17 @@
 		Expect(lendAll(l, 5500)).To(Equal(13))
 	})
 
+	// Guards against caches that hold more with each control process.
+	It("prefetches no more than allCachesShare in all processes together", func() {
+		for n := 1; n <= 50; n++ {
+			l := newLender()
+			l.setLimits(0, &catalog.Config{Accounts: []catalog.Account{{Name: "x", Rate: 1000, Burst: 1000}}})
+			l.setProcesses(n)
+			Expect(l.caches["x"].MaxPrefetch).To(BeNumerically("<=", 40))
+			Expect(n * l.caches["x"].MaxPrefetch).To(BeNumerically("<=", 200))
+		}
+	})
+
 	It("forgets an account that is removed once its bucket is full", func() {
 		l := newLender()
 		l.setLeading(5000, true, config)
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -17,6 +17,7 @@
 // due.
 func (r *Replica) reviewMembers(now clock.Millis) {
 	r.lender.leaderAddr = r.leaderAddr()
+	r.lender.setProcesses(len(r.fleet.lastFleet.Cores))
 	if r.node.Role() != replica.Leader {
 		return
 	}
