--- a/catalog/config.go
+++ b/catalog/config.go
@@ -45,7 +45,8 @@
 	// Attempts is the largest number of times that one request is sent to a
 	// target. Zero means one.
 	Attempts int
-	// Open routes accept requests without a key.
+	// Open routes accept requests without a key. A key that is sent must still be one of
+	// the configuration.
 	Open bool
 }
 
@@ -134,7 +135,9 @@
 		a := &c.Accounts[i]
 		c.byAccount[a.Name] = a
 		for _, k := range a.Keys {
-			c.byKey[k] = a
+			if k != "" {
+				c.byKey[k] = a
+			}
 		}
 	}
 	for i := range c.Services {
@@ -160,7 +163,8 @@
 	return nil
 }
 
-// AccountByKey returns the account that a key belongs to, nil if there is none.
+// AccountByKey returns the account that a key belongs to, nil if there is none. The empty
+// key belongs to no account.
 func (c *Config) AccountByKey(key string) *Account { return c.byKey[key] }
 
 // Account returns the account with the given name, nil if there is none.
--- a/edge/call.go
+++ b/edge/call.go
@@ -143,8 +143,11 @@
 	if c.route = routing.Match(f, c.r); c.route == nil {
 		return &refusal{NoRoute, http.StatusNotFound, 0, version}
 	}
-	c.account = f.AccountByKey(c.r.Header.Get(c.host.Headers.Key))
-	if c.account == nil && !c.route.Open && len(f.Accounts) > 0 {
+	key := c.r.Header.Get(c.host.Headers.Key)
+	c.account = f.AccountByKey(key)
+	// A key that was taken away must not become good as no key on an open route.
+	keyNeeded := !c.route.Open || key != ""
+	if c.account == nil && keyNeeded && len(f.Accounts) > 0 {
 		return &refusal{UnknownKey, http.StatusUnauthorized, 0, version}
 	}
 	return nil
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/carawayrack/carawayrack/balance"
+	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
 	"github.com/carawayrack/carawayrack/healthcheck"
@@ -48,6 +49,25 @@
 		Expect(t.requests()).To(Equal(1))
 	})
 
+	// Guards against a key that was taken away and still serves its callers on an open route,
+	// outside of their account's limit.
+	It("is refused with a key that was taken away, also on an open route", func() {
+		t := newStandin("t", ok)
+		w := newTestHost(t)
+		Expect(w.get("/open/", "Key", "k1").status).To(Equal(200))
+		s := catalog.New(nil)
+		c := *w.host.view.config
+		c.Version, c.Accounts = 2, []catalog.Account{{Name: "acc", Keys: []string{"k2"}, Priority: -1, Rate: 100, Burst: 100}}
+		c.Index()
+		s.Config, s.Targets = &c, map[string]catalog.Target{"t": {ID: "t", Service: "s", Zone: "z", Addr: t.ln.Addr().String(), Phase: catalog.Serving, Slots: 8, Born: 1}}
+		w.host.view.setState(w.host.Clock.Now(), s)
+		before := t.requests()
+		Expect(w.get("/open/", "Key", "k1").status).To(Equal(http.StatusUnauthorized))
+		Expect(t.requests()).To(Equal(before))
+		Expect(w.get("/open/", "Key", "k2").status).To(Equal(200))
+		Expect(w.get("/open/", "Key", "").status).To(Equal(200), "requests without a key are still served")
+	})
+
 	It("is refused with Retry-After while its account has no tokens", func() {
 		t := newStandin("t1", ok)
 		w := newTestHost(t)
