--- a/edge/call.go
+++ b/edge/call.go
@@ -17,6 +17,7 @@
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/poison"
 	"github.com/carawayrack/carawayrack/routing"
+	"github.com/carawayrack/carawayrack/token"
 )
 
 const (
@@ -170,15 +171,19 @@
 	if c.account == nil {
 		return nil
 	}
-	ok, wait := c.host.tokens.Take(c.account)
+	ok, wait, source := c.host.tokens.TakeFrom(c.account)
 	if ok {
 		return nil
 	}
-	return c.overQuota(wait)
+	return c.overQuota(wait, source)
 }
 
-func (c *call) overQuota(wait clock.Millis) *refusal {
-	return &refusal{OverQuota, http.StatusTooManyRequests, wait, "account " + c.account.Name}
+func (c *call) overQuota(wait clock.Millis, s token.Source) *refusal {
+	reason := OverQuota
+	if s == token.SourceOwnPart {
+		reason = LenderAway
+	}
+	return &refusal{reason, http.StatusTooManyRequests, wait, "account " + c.account.Name}
 }
 
 // readBody reads the body up to maxBufferedBody, or less if bodies of other
--- a/edge/explain_route.go
+++ b/edge/explain_route.go
@@ -103,7 +103,7 @@
 	s := c.host.tokens.State(now, a)
 	l := &routing.AccountLine{Name: a.Name, Rate: a.Rate, Burst: a.Burst, Held: s.Held, Source: string(s.Source), LenderAge: s.LenderAge}
 	if s.Source == token.SourceEmpty {
-		return l, c.overQuota(s.Wait)
+		return l, c.overQuota(s.Wait, s.Source)
 	}
 	return l, nil
 }
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -77,6 +77,18 @@
 		Expect(a.status).To(Equal(429))
 		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
 		Expect(t.requests()).To(Equal(1))
+		Expect(a.body).To(ContainSubstring(string(OverQuota)))
+	})
+
+	// Guards against refusals that look like those of an account above its rate.
+	It("is refused with a reason of its own while no control process lends", func() {
+		w := newTestHost(newStandin("t1", ok))
+		w.host.tokens.Reachable = func() bool { return false }
+		w.host.tokens.Hosts = func() int { return 1000 }
+		a := w.get("/safe/")
+		Expect(a.status).To(Equal(429))
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(a.body).To(ContainSubstring(string(LenderAway)))
 	})
 
 	It("is refused as not run if the host has no proof that its configuration is current", func() {
--- a/edge/refusal.go
+++ b/edge/refusal.go
@@ -16,12 +16,17 @@
 	ConfigNotCurrent Reason = "configurationNotCurrent"
 	NoRoute          Reason = "noRoute"
 	UnknownKey       Reason = "unknownKey"
-	OverQuota        Reason = "overQuota"
-	BadRequest       Reason = "badRequest"
-	BodyTooLarge     Reason = "bodyTooLarge"
-	NoTarget         Reason = "noTarget"
-	TargetsFull      Reason = "targetsFull"
-	OutOfTime        Reason = "outOfTime"
+	// OverQuota counts requests above the limit of their account over all hosts, as far
+	// as the control processes know; LenderAway those above the host's own part of it
+	// while no control process lends.
+	OverQuota  Reason = "overQuota"
+	LenderAway Reason = "lenderAway"
+
+	BadRequest   Reason = "badRequest"
+	BodyTooLarge Reason = "bodyTooLarge"
+	NoTarget     Reason = "noTarget"
+	TargetsFull  Reason = "targetsFull"
+	OutOfTime    Reason = "outOfTime"
 	// TargetsLeaving counts requests to a service all of whose targets are leaving,
 	// TargetsPaused those to one whose healthy targets all want no requests for a
 	// while.
--- a/token/borrower.go
+++ b/token/borrower.go
@@ -105,23 +105,31 @@
 // none, it returns the time until there may be one again. It may wait for a control
 // process or a zone lender.
 func (b *Borrower) Take(a *catalog.Account) (bool, clock.Millis) {
+	ok, wait, _ := b.TakeFrom(a)
+	return ok, wait
+}
+
+// TakeFrom is Take and returns where the token comes from, or who has none: SourceLender if
+// control processes lend, also from what the host holds, otherwise SourceOwnPart.
+func (b *Borrower) TakeFrom(a *catalog.Account) (bool, clock.Millis, Source) {
 	if a.Rate <= 0 {
-		return true, 0
+		return true, 0, SourceLender
 	}
 	now := b.Clock.Now()
 	b.mu.Lock()
 	p := b.find(now, a)
 	if p.Spend(now, 1) {
 		b.mu.Unlock()
-		return true, 0
+		return true, 0, SourceLender
 	}
 	switch s, w := b.nextSource(now, p); s {
 	case SourceEmpty:
 		b.mu.Unlock()
-		return false, w
+		return false, w, SourceLender
 	case SourceOwnPart:
 		b.mu.Unlock()
-		return b.takeWithoutLender(a)
+		ok, wait := b.takeWithoutLender(a)
+		return ok, wait, SourceOwnPart
 	}
 	want := p.PrefetchNeeded(now)
 	b.mu.Unlock()
@@ -131,17 +139,18 @@
 	if err != nil || !r.Known {
 		b.fallbackUntil = now + fallbackFor
 		b.mu.Unlock()
-		return b.takeWithoutLender(a)
+		ok, wait := b.takeWithoutLender(a)
+		return ok, wait, SourceOwnPart
 	}
 	defer b.mu.Unlock()
 	b.lenderAt = now
 	p.Add(r.Tokens)
 	if p.SpendBorrowed(1) {
-		return true, 0
+		return true, 0, SourceLender
 	}
 	w := max(r.Wait, minRetryAfter)
 	p.SetLenderEmpty(now, w)
-	return false, w
+	return false, w, SourceLender
 }
 
 // Source is where the next token of an account comes from.
--- a/token/borrower_test.go
+++ b/token/borrower_test.go
@@ -46,6 +46,27 @@
 		Expect(float64(n)).To(BeNumerically(">=", a.Rate/10*10*fallbackShare*0.9))
 	})
 
+	It("are reported as spent while control processes reply, until one of them knows", func() {
+		a := &catalog.Account{Name: "acc", Rate: 100, Burst: 100}
+		reachable := true
+		t := &Borrower{Hosts: func() int { return 1 }, Reachable: func() bool { return reachable }, Random: func() float64 { return 0.5 }}
+		t.Borrow = func(coordinator.BorrowArgs) (coordinator.BorrowReply, error) { return coordinator.BorrowReply{}, nil }
+		t.Run()
+		for range 5 {
+			ok, _, s := t.TakeFrom(a)
+			Expect(ok).To(BeTrue())
+			Expect(s).To(Equal(SourceOwnPart))
+		}
+		l := t.Spent()
+		Expect(l).To(Equal(map[string]int{"acc": 5}))
+		_, _ = t.Take(a)
+		t.Settle(l)
+		Expect(t.Spent()).To(Equal(map[string]int{"acc": 1}))
+		reachable = false
+		_, _ = t.Take(a)
+		Expect(t.Spent()).To(Equal(map[string]int{"acc": 1}), "the leader takes the host as absent then")
+	})
+
 	// The leader freezes, another one is elected and freezes too: hosts lose their
 	// lender again and again, for less than a second each time.
 	It("do not add up while the lender is lost again and again", func() {
