--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -7,7 +7,7 @@
 const OwnShare = 0.7
 
 // absenceInterval is the time between two updates of absence.
-const absenceInterval = 100 * clock.Millis(1)
+const absenceInterval = 200 * clock.Millis(1)
 
 // absence follows, at the leader, the hosts that may be using their own parts of the rates:
 // those without contact for silentAfter, until they take no requests any more. What they
