--- a/controlplane/client.go
+++ b/controlplane/client.go
@@ -246,9 +246,11 @@
 	}
 	sent := l.Clock.Now()
 	wants, returns := l.Tokens.Wants(sent)
+	spent, round := l.Tokens.Spent()
 	a := coordinator.ExchangeArgs{
 		Host:     l.host(),
-		Sequence: l.state.Sequence, Hosts: l.fleet.Digest, Deltas: true, Wants: wants, Returns: returns, Spent: l.Tokens.Spent(),
+		Sequence: l.state.Sequence, Hosts: l.fleet.Digest, Deltas: true, Wants: wants, Returns: returns,
+		Spent: spent, SpentRound: round,
 		Rollouts: l.Reports(sent), Instance: l.instance,
 	}
 	var p coordinator.ExchangeReply
@@ -257,7 +259,7 @@
 		return false
 	}
 	l.noteReply()
-	l.Tokens.Settle(a.Spent)
+	l.Tokens.Settle(spent)
 	l.Tokens.Add(p.Grants)
 	if !p.Known || !l.apply(p.Update) {
 		return false
--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -6,8 +6,13 @@
 // parts while they cannot borrow tokens.
 const OwnShare = 0.7
 
-// absenceInterval is the time between two updates of absence.
-const absenceInterval = 200 * clock.Millis(1)
+const (
+	// absenceInterval is the time between two updates of absence.
+	absenceInterval = 200 * clock.Millis(1)
+	// unknownHostsFor is how long a new leader without a list of hosts, which has just
+	// started, takes all of them as absent: they may still use the former leader.
+	unknownHostsFor = 1 * clock.Second
+)
 
 // absence follows, at the leader, the hosts that may be using their own parts of the rates:
 // those without contact for silentAfter, until they take no requests any more. What they
@@ -35,6 +40,9 @@
 	for _, h := range active(hosts) {
 		a.contactAt[h.ID] = now
 	}
+	if len(hosts) == 0 {
+		a.parts[""] = absentPart{OwnShare, now + unknownHostsFor}
+	}
 }
 
 // update takes the times of the last contacts, the hosts that stop and the list of hosts. It
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -77,10 +77,10 @@
 
 // exchange handles the request of one host and returns the response.
 func (r *Replica) exchange(now clock.Millis, a ExchangeArgs) ExchangeReply {
-	r.fleet.recordHost(now, a.Host)
+	spent := r.fleet.recordHost(now, a)
 	r.recordRollouts(now, rollout.HostReport{Host: a.Host.ID, Instance: a.Instance, Leaving: a.Host.Leaving, Reports: a.Rollouts})
 	r.lender.returnTokens(now, a.Returns)
-	r.lender.debit(now, a.Spent)
+	r.lender.debit(now, spent)
 	p := ExchangeReply{Known: r.proven, Age: now - r.freshAt, Grants: r.lender.prefetch(now, a.Wants)}
 	// A replica that lags behind must not replace a host's state by an older one.
 	if !r.proven || a.Sequence > r.state.Sequence {
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -35,6 +35,10 @@
 type hostRow struct {
 	host Host
 	at   clock.Millis
+	// instance, spentRound and spent are those of the last exchange.
+	instance   uint64
+	spentRound uint64
+	spent      map[string]int
 }
 
 // coreRow is a control process with the hosts and the time of its last report.
@@ -62,9 +66,26 @@
 	t.ackedDigest = 0
 }
 
-// recordHost records an exchange with a host.
-func (t *fleetTable) recordHost(now clock.Millis, h Host) {
-	t.hosts[h.ID] = &hostRow{h, now}
+// recordHost records an exchange with a host. It returns the tokens that the host has spent of
+// its own part since the last one, none if that is longer than silentAfter ago: the leader
+// takes the host as absent then.
+func (t *fleetTable) recordHost(now clock.Millis, a ExchangeArgs) map[string]int {
+	old := t.hosts[a.Host.ID]
+	t.hosts[a.Host.ID] = &hostRow{a.Host, now, a.Instance, a.SpentRound, a.Spent}
+	if old == nil || old.instance != a.Instance || now-old.at > silentAfter {
+		return nil
+	}
+	if old.spentRound != a.SpentRound {
+		return a.Spent
+	}
+	// The host did not get the last reply and sends what it has spent again.
+	more := map[string]int{}
+	for n, k := range a.Spent {
+		if k > old.spent[n] {
+			more[n] = k - old.spent[n]
+		}
+	}
+	return more
 }
 
 // directHosts returns the hosts whose last exchange with this process was within
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -5,8 +5,28 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/carawayrack/carawayrack/clock"
 )
 
+var _ = Describe("what a host has spent alone", func() {
+	// Guards against hosts whose exchanges arrive, but get no reply: they send the same again.
+	It("is counted once, and not after a silence, for which the host counts as absent", func() {
+		t := &fleetTable{}
+		t.run()
+		record := func(now clock.Millis, instance, round uint64, spent int) int {
+			return t.recordHost(now, ExchangeArgs{Host: Host{ID: "h"}, Instance: instance, SpentRound: round, Spent: map[string]int{"x": spent}})["x"]
+		}
+		Expect(record(0, 1, 0, 9)).To(Equal(0), "the host was not known")
+		Expect(record(100, 1, 1, 3)).To(Equal(3))
+		Expect(record(200, 1, 1, 5)).To(Equal(2))
+		Expect(record(300, 1, 1, 5)).To(Equal(0))
+		Expect(record(400, 1, 2, 4)).To(Equal(4))
+		Expect(record(500+silentAfter, 1, 2, 50)).To(Equal(0))
+		Expect(record(600+silentAfter, 2, 0, 7)).To(Equal(0), "the host has restarted")
+	})
+})
+
 var _ = Describe("the control processes to which targets of another zone are sent", func() {
 	// Guards against all targets of a zone at its first process, and against a target
 	// that is sent to a lost process as long as that is listed.
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -36,9 +36,11 @@
 	Wants map[string]int
 	// Returns are borrowed tokens that the host did not spend, by account.
 	Returns map[string]int
-	// Spent are the tokens that the host has spent of its own part of the rates while
-	// control processes replied, by account.
-	Spent map[string]int
+	// Spent are the tokens that the host has spent of its own part of the rates since the
+	// exchange that got the last reply, by account; SpentRound is the number of such
+	// exchanges.
+	Spent      map[string]int
+	SpentRound uint64
 	// Rollouts are the host's counts of the running roll-outs, Instance tells its
 	// runs apart.
 	Rollouts []rollout.ServiceReport
--- a/token/borrower.go
+++ b/token/borrower.go
@@ -66,9 +66,10 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	// spent holds the tokens spent of the host's own part while control processes
-	// replied, by account.
+	// spent holds the tokens spent of the host's own part since the last call of Settle
+	// with what is now its round.
 	spent map[string]int
+	round uint64
 	// lenderAt is when a control process last replied.
 	lenderAt clock.Millis
 	// fallbackUntil is the end of the time in which the host does not try to
@@ -274,9 +275,7 @@
 	p.fallback.Resume(b.lenderAt)
 	p.fallbackUsedAt = now
 	if p.fallback.Take(now, 1) == 1 {
-		if b.Reachable() {
-			b.spent[a.Name]++
-		}
+		b.spent[a.Name]++
 		return true, 0
 	}
 	return false, max(p.fallback.Wait(now), minRetryAfter)
@@ -292,19 +291,19 @@
 	return wants, returns
 }
 
-// Spent returns the tokens that were spent of the host's own part, by account, while control
-// processes replied. The leader takes them off what it lends; while none replies, it takes
-// them as spent anyway.
-func (b *Borrower) Spent() map[string]int {
+// Spent returns the tokens that were spent of the host's own part, by account, since a control
+// process has last replied, and the number of such replies.
+func (b *Borrower) Spent() (spent map[string]int, round uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return maps.Clone(b.spent)
+	return maps.Clone(b.spent), b.round
 }
 
 // Settle drops tokens that a control process knows as spent.
 func (b *Borrower) Settle(spent map[string]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.round++
 	for n, k := range spent {
 		if b.spent[n] -= k; b.spent[n] <= 0 {
 			delete(b.spent, n)
