--- a/poison/detector.go
+++ b/poison/detector.go
@@ -136,8 +136,8 @@
 func (d *Detector) recordCrash(f Fingerprint, key uint32) {
 	d.mu.Lock()
 	quarantined := d.register.RecordCrash(d.Clock.Now(), f, key)
-	d.mu.Unlock()
 	d.hasSuspects.Store(true)
+	d.mu.Unlock()
 	d.logQuarantine(f, quarantined)
 }
 
@@ -146,8 +146,8 @@
 func (d *Detector) recordAttemptCrash(a Attempt, refused bool) (key uint32, quarantined bool) {
 	d.mu.Lock()
 	key, quarantined = d.register.RecordAttemptCrash(d.Clock.Now(), a, refused)
-	d.mu.Unlock()
 	d.hasSuspects.Store(true)
+	d.mu.Unlock()
 	d.logQuarantine(a.Fingerprint, quarantined)
 	return key, quarantined
 }
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -85,10 +85,10 @@
 	b.level -= n
 }
 
-// Full reports whether the bucket can take no more tokens.
+// Full reports whether the bucket holds its whole burst.
 func (b *Bucket) Full(now clock.Millis) bool {
 	b.refill(now)
-	return b.level >= b.capacity()
+	return b.ahead < 1 && b.level >= b.capacity()
 }
 
 // Wait returns the time until a token can be lent, 0 if one can be lent now or
