--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// forgetUnknown ends the absence of unknown hosts, since no former leader is left for them.
+func (a *absence) forgetUnknown() { delete(a.parts, "") }
+
 // update takes the times of the last contacts, the hosts that stop and the list of hosts. It
 // returns what absent hosts may have spent since the last update, in seconds of a rate.
 func (a *absence) update(now clock.Millis, contacts map[string]clock.Millis, leaving map[string]bool, hosts []Host) float64 {
@@ -142,6 +145,9 @@
 	if !r.lender.leading || now-r.absence.updatedAt < absenceInterval {
 		return
 	}
+	if r.node.Followed() {
+		r.absence.forgetUnknown()
+	}
 	at, leaving := r.fleet.contacts()
 	r.lender.debitAll(now, r.absence.update(now, at, leaving, r.fleet.lastFleet.Hosts))
 }
--- a/coordinator/limits_model_test.go
+++ b/coordinator/limits_model_test.go
@@ -76,15 +76,17 @@
 
 // modelHost is an entry host.
 type modelHost struct {
-	m           *limitsModel
-	id, zone    string
-	tokens      *token.Borrower
-	core        *modelCore
-	repliedAt   clock.Millis
-	currentAt   clock.Millis
-	exchangeAt  clock.Millis
-	state       uint64
-	instance    uint64
+	m          *limitsModel
+	id, zone   string
+	tokens     *token.Borrower
+	core       *modelCore
+	repliedAt  clock.Millis
+	currentAt  clock.Millis
+	exchangeAt clock.Millis
+	state      uint64
+	instance   uint64
+	// due is the part of the next request of the account steady.
+	due         float64
 	frozenUntil clock.Millis
 	downUntil   clock.Millis
 }
@@ -187,6 +189,7 @@
 	h.tokens.Run()
 	h.core, h.state, h.currentAt = nil, 0, 0
 	h.instance++
+	h.due = h.m.r.Float64()
 	h.exchangeAt = h.m.now + clock.Millis(h.m.r.Intn(100))
 }
 
@@ -347,6 +350,12 @@
 	}
 	for _, a := range m.limits[len(m.limits)-1].accounts {
 		n := m.load[a.Name] * modelStep / 1000 / float64(len(m.hosts))
+		if a.Name == "steady" {
+			// Even arrivals: others are above the rate for moments.
+			h.due += n
+			n = float64(int(h.due))
+			h.due -= n
+		}
 		for n > 0 && m.r.Float64() < n {
 			n--
 			if ok, _ := h.tokens.Take(&a); ok {
--- a/coordinator/settings.go
+++ b/coordinator/settings.go
@@ -64,7 +64,7 @@
 	silentAfter = 500 * clock.Millis(1)
 	// takeoverTokens are the tokens with which the bucket of an account begins at a new
 	// leader, beside those of the time between two leases that hosts have not used.
-	takeoverTokens = 2
+	takeoverTokens = 5
 	// removeSurplusAfter and removeLostAfter are the times without a response
 	// after which a voter is removed: with an even number of voters, where
 	// removing it makes the majority smaller, and with an odd one.
--- a/replica/election_test.go
+++ b/replica/election_test.go
@@ -148,6 +148,23 @@
 			Expect(led).To(Equal(1), "seed %d", seed)
 		}
 	})
+
+	// Guards against a fleet that lends nothing for most of a second after a loss of power of
+	// all control processes.
+	ginkgo.It("begins at once when all voters follow, also if all have restarted", func() {
+		for seed := int64(1); seed <= 50; seed++ {
+			e := newElectorate(seed)
+			for e.now < 700 && e.nodes["a.founder"].LeaderID() == "" {
+				e.run(1, "")
+			}
+			e.run(50, "")
+			l := e.nodes[e.nodes["a.founder"].LeaderID()]
+			Expect(l.Followed()).To(BeTrue())
+			from, until := l.Lease()
+			Expect(from).To(BeNumerically("<=", e.now), "seed %d", seed)
+			Expect(until).To(BeNumerically(">", e.now), "seed %d", seed)
+		}
+	})
 })
 
 var _ = ginkgo.Describe("a learner", func() {
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -28,7 +28,7 @@
 	n.rounds = map[uint64]Proof{}
 	n.proof = Proof{}
 	n.leadingAt = now
-	n.roundAt, n.leaseFrom = 0, max(now, n.forgotten)
+	n.roundAt, n.leaseFrom, n.leadingSince = 0, max(now, n.forgotten), now
 	i, _ := n.Last()
 	n.termStart = i + 1
 	// A leader may only commit entries of its own term. Committing an empty one
@@ -136,9 +136,23 @@
 	if n.role != Leader || n.roundAt == 0 {
 		return 0, 0
 	}
+	if n.Followed() {
+		return n.leadingSince, n.roundAt + n.ElectionTimeout
+	}
 	return n.leaseFrom, n.roundAt + n.ElectionTimeout
 }
 
+// Followed reports whether the replica leads and all voters have responded to it. No former
+// leader is left then.
+func (n *Node) Followed() bool {
+	for id := range n.members.Voters {
+		if id != n.ID && (n.progress[id] == nil || n.progress[id].responseAt == 0) {
+			return false
+		}
+	}
+	return n.role == Leader
+}
+
 // LastProof returns the newest proof of leadership, zero if there is none or the
 // replica is not the leader.
 func (n *Node) LastProof() Proof {
--- a/replica/node.go
+++ b/replica/node.go
@@ -97,6 +97,8 @@
 	// if there is none in this term. leaseFrom is when no former leader has a lease any more.
 	roundAt   clock.Millis
 	leaseFrom clock.Millis
+	// leadingSince is the time of the election.
+	leadingSince clock.Millis
 	// startedAt is when the replica started. forgotten is the end of the longest lease that
 	// a voter of the present election may have forgotten with a restart.
 	startedAt clock.Millis
