--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -63,6 +63,7 @@
 	for id, at := range contacts {
 		a.contactAt[id] = max(a.contactAt[id], at)
 	}
+	// A host that has said that it stops uses no part of its own after its end.
 	for id := range leaving {
 		if now-a.contactAt[id] > silentAfter {
 			delete(a.contactAt, id)
@@ -74,6 +75,7 @@
 		if _, absent := a.parts[h.ID]; !known || absent || now-at <= silentAfter || now-at >= a.MaxAge {
 			continue
 		}
+		// Its part counts from its last contact on.
 		p := absentPart{OwnShare / float64(len(l)), at + a.MaxAge}
 		a.parts[h.ID] = p
 		spent += p.share * float64(now-at) / 1000
@@ -139,8 +141,7 @@
 	return silent, leaving
 }
 
-// reviewAbsence takes what absent hosts may have spent off the leader's buckets, and notes
-// until when it may lend.
+// reviewAbsence takes what absent hosts may have spent off the leader's buckets.
 func (r *Replica) reviewAbsence(now clock.Millis) {
 	if !r.lender.leading || now-r.absence.updatedAt < absenceInterval {
 		return
