Refuse requests with several different keys

A request with two key headers was served by the first of them: a key that was taken away passed behind a valid one, and behind an empty one on open routes also without an account.

Cause: the host read only the first value of the header. Change: package apikey returns the only key of a request; several different ones are refused with 401, as unknown. Empty values and repetitions do not count, so that requests with one valid key are served as before.

Measured: of the eight entries of the new table in edge four fail before (200 instead of 401 three times, 401 instead of 200 for an empty value before a valid one), none after.

--- a/edge/call.go
+++ b/edge/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carawayrack/carawayrack/apikey"
 	"github.com/carawayrack/carawayrack/buffer"
 	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
@@ -144,16 +145,25 @@
 	if c.route = routing.Match(f, c.r); c.route == nil {
 		return &refusal{NoRoute, http.StatusNotFound, 0, version}
 	}
-	key := c.r.Header.Get(c.host.Headers.Key)
-	c.account = f.AccountByKey(key)
-	// A key that was taken away must not become good as no key on an open route.
-	keyNeeded := !c.route.Open || key != ""
-	if c.account == nil && keyNeeded && len(f.Accounts) > 0 {
+	if !c.authenticate(f) {
 		return &refusal{UnknownKey, http.StatusUnauthorized, 0, version}
 	}
 	return nil
 }
 
+// authenticate sets the account by the key of the request. It returns false if the request
+// needs a key and has none, or has one that is not in the configuration: a key that was taken
+// away must not become good as no key on an open route.
+func (c *call) authenticate(f *catalog.Config) bool {
+	key, ok := apikey.Sole(c.r.Header.Values(c.host.Headers.Key))
+	if !ok {
+		return false
+	}
+	c.account = f.AccountByKey(key)
+	keyNeeded := !c.route.Open || key != ""
+	return c.account != nil || !keyNeeded || len(f.Accounts) == 0
+}
+
 // setDeadline sets the time at which the request times out.
 func (c *call) setDeadline() {
 	d := defaultDeadline
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -68,6 +68,24 @@
 		Expect(w.get("/open/", "Key", "").status).To(Equal(200), "requests without a key are still served")
 	})
 
+	// Guards against a withdrawn key that passes behind a valid or an empty one.
+	DescribeTable("with several keys is refused unless they are the same",
+		func(path string, status int, keys ...string) {
+			t := newStandin("t", ok)
+			w := newTestHost(t)
+			Expect(w.withKeys(path, keys...)).To(Equal(status))
+			Expect(t.requests() == 1).To(Equal(status == 200))
+		},
+		Entry("valid before unknown", "/safe/", 401, "k1", "gone"),
+		Entry("unknown before valid", "/safe/", 401, "gone", "k1"),
+		Entry("empty before unknown on an open route", "/open/", 401, "", "gone"),
+		Entry("valid before unknown on an open route", "/open/", 401, "k1", "gone"),
+		Entry("empty before valid", "/safe/", 200, "", "k1"),
+		Entry("the same twice", "/safe/", 200, "k1", "k1"),
+		Entry("twice empty on an open route", "/open/", 200, "", ""),
+		Entry("twice empty", "/safe/", 401, "", ""),
+	)
+
 	It("is refused with Retry-After while its account has no tokens", func() {
 		t := newStandin("t1", ok)
 		w := newTestHost(t)
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -313,6 +313,22 @@
 	return response{r.StatusCode, string(b), r.Header}, err
 }
 
+// withKeys sends a request with the given values of the key's header, and returns the status
+// of the response.
+func (w *testHost) withKeys(path string, keys ...string) int {
+	q, err := http.NewRequest(http.MethodGet, w.server.URL+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	q.Host = "h"
+	q.Header.Set("Req-Id", "r1")
+	q.Header["Key"] = keys
+	c := &http.Client{Timeout: 10 * time.Second}
+	defer c.CloseIdleConnections()
+	r, err := c.Do(q)
+	Expect(err).NotTo(HaveOccurred())
+	defer r.Body.Close()
+	return r.StatusCode
+}
+
 // chunked sends a body without a Content-Length. The host may respond before it
 // has read the body.
 func (w *testHost) chunked(path string, body io.Reader) response {
