Keep routes closed after the last account was taken out

When a configuration took the last account away, every route became open: requests with the withdrawn key ran, and requests without any.

Cause: the host asked for keys only while the configuration had accounts. Change: a configuration that contains tenants, also an empty list, requires keys (PROTOCOL.md: 'If the configuration contains tenants, a request carries a key'); without that field none is needed, as before. A key that is sent must be one of the configuration in both cases ('A request with an unknown key receives a 401 response').

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -105,7 +105,10 @@
 	Routes   []Route
 	Services []Service
 	Accounts []Account
-	Limits   Limits
+	// KeysRequired is true if routes that are not open need a key although there may be no
+	// account: the last one may have been taken out. Accounts always require keys.
+	KeysRequired bool
+	Limits       Limits
 	// HostsWithoutRoutes are the host names that are listed without a route.
 	HostsWithoutRoutes []string
 
@@ -167,6 +170,11 @@
 // key belongs to no account.
 func (c *Config) AccountByKey(key string) *Account { return c.byKey[key] }
 
+// NeedsKey reports whether requests on a route must carry a key.
+func (c *Config) NeedsKey(r *Route) bool {
+	return !r.Open && (c.KeysRequired || len(c.Accounts) > 0)
+}
+
 // Account returns the account with the given name, nil if there is none.
 func (c *Config) Account(name string) *Account { return c.byAccount[name] }
 
--- a/edge/call.go
+++ b/edge/call.go
@@ -153,15 +153,17 @@
 
 // authenticate sets the account by the key of the request. It returns false if the request
 // needs a key and has none, or has one that is not in the configuration: a key that was taken
-// away must not become good as no key on an open route.
+// away must not become good as no key, on an open route or after the last account has gone.
 func (c *call) authenticate(f *catalog.Config) bool {
 	key, ok := apikey.Sole(c.r.Header.Values(c.host.Headers.Key))
 	if !ok {
 		return false
 	}
 	c.account = f.AccountByKey(key)
-	keyNeeded := !c.route.Open || key != ""
-	return c.account != nil || !keyNeeded || len(f.Accounts) == 0
+	if key == "" {
+		return !f.NeedsKey(c.route)
+	}
+	return c.account != nil
 }
 
 // setDeadline sets the time at which the request times out.
--- a/edge/host_test.go
+++ b/edge/host_test.go
@@ -68,6 +68,29 @@
 		Expect(w.get("/open/", "Key", "").status).To(Equal(200), "requests without a key are still served")
 	})
 
+	// Guards against routes that become open when a configuration takes the last account away.
+	It("needs a key of the configuration after the last account was taken out", func() {
+		t := newStandin("t", ok)
+		w := newTestHost(t)
+		accounts := w.host.view.config.Accounts
+		w.configure(func(c *catalog.Config) { c.Accounts, c.KeysRequired = nil, true })
+		Expect(w.get("/safe/", "Key", "k1").status).To(Equal(401))
+		Expect(w.get("/safe/", "Key", "").status).To(Equal(401))
+		Expect(w.get("/open/", "Key", "k1").status).To(Equal(401))
+		Expect(w.get("/open/", "Key", "").status).To(Equal(200))
+		Expect(t.requests()).To(Equal(1))
+		// The account comes back.
+		w.configure(func(c *catalog.Config) { c.Accounts = accounts })
+		Expect(w.get("/safe/", "Key", "k1").status).To(Equal(200))
+	})
+
+	It("needs no key in a configuration without accounts, but is refused with one", func() {
+		w := newTestHost(newStandin("t", ok))
+		w.configure(func(c *catalog.Config) { c.Accounts = nil })
+		Expect(w.get("/safe/", "Key", "").status).To(Equal(200))
+		Expect(w.get("/safe/", "Key", "k1").status).To(Equal(401))
+	})
+
 	// Guards against a withdrawn key that passes behind a valid or an empty one.
 	DescribeTable("with several keys is refused unless they are the same",
 		func(path string, status int, keys ...string) {
--- a/edge/standin_test.go
+++ b/edge/standin_test.go
@@ -273,6 +273,18 @@
 	w.host.view.setState(w.host.Clock.Now(), s)
 }
 
+// configure replaces the configuration by a changed copy. The targets stay.
+func (w *testHost) configure(change func(*catalog.Config)) {
+	v := w.host.view
+	c := *v.config
+	c.Version++
+	change(&c)
+	c.Index()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.config = &c
+}
+
 // response is what a caller received.
 type response struct {
 	status int
