Judge keys on open routes of carawayrack host

Cause: the key was not read on open routes; elsewhere only an Authorization header that came first and had the scheme in one case. Change: a key that is sent must be valid on every route, and its account's limit applies; withdrawal ends its requests in flight. Requests without a key on open routes are served as before, also while the configuration may not be current.

--- a/frontend/addresses.go
+++ b/frontend/addresses.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sort"
 
+	"github.com/carawayrack/carawayrack/apikey"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/config"
 	"github.com/carawayrack/carawayrack/placement"
@@ -34,8 +35,10 @@
 func (f *Handler) addresses(w http.ResponseWriter, r *http.Request) {
 	s := f.Config()
 	account := ""
-	if k, x := s.Authenticate(bearerToken(r)); x == nil {
-		account = k.Account
+	if key, ok := apikey.Bearer(r.Header); ok {
+		if k, x := s.Authenticate(key); x == nil {
+			account = k.Account
+		}
 	}
 	a := Addresses{Hold: f.AddressHold, Version: s.Version}
 	for _, id := range f.chooseHosts(s, account, r.URL.Query().Get("zone")) {
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -7,10 +7,10 @@
 	"encoding/hex"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/carawayrack/carawayrack/apikey"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/config"
 	"github.com/carawayrack/carawayrack/journal"
@@ -73,16 +73,6 @@
 	return hex.EncodeToString(b)
 }
 
-// bearerToken returns the token of the Authorization header, or "" if it has
-// none.
-func bearerToken(r *http.Request) string {
-	t, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return ""
-	}
-	return strings.TrimSpace(t)
-}
-
 // run handles the request.
 func (c *call) run() {
 	defer c.returnToken()
@@ -115,13 +105,23 @@
 	if x := c.setDeadline(); x != nil {
 		return x
 	}
-	if r.Open {
+	return c.authenticate()
+}
+
+// authenticate sets the account by the API key. Requests on open routes need none, but a key
+// that is sent must be valid there too: a withdrawn one must not become good as no key.
+func (c *call) authenticate() *refusal.Refusal {
+	key, ok := apikey.Bearer(c.r.Header)
+	if !ok {
+		return refusal.New(refusal.KeyUnknown, "the request has several different keys")
+	}
+	if key == "" && c.route.Open {
 		return nil
 	}
 	if !c.handler.Current() {
 		return refusal.New(refusal.ConfigStale, "this host cannot prove that its configuration is in force")
 	}
-	k, x := c.state.Authenticate(bearerToken(c.r))
+	k, x := c.state.Authenticate(key)
 	c.account = k.Account
 	if x != nil {
 		return x
@@ -130,7 +130,7 @@
 	// The key may have been withdrawn before keyID was stored. CancelWithdrawn
 	// then did not see this call, so the key is checked again.
 	if n := c.handler.Config(); n != c.state {
-		_, x = n.Authenticate(bearerToken(c.r))
+		_, x = n.Authenticate(key)
 	}
 	return x
 }
@@ -183,9 +183,10 @@
 	return nil
 }
 
-// takeToken reserves a token of the account's rate limit.
+// takeToken reserves a token of the account's rate limit. Requests without a key, on open
+// routes, need none.
 func (c *call) takeToken() *refusal.Refusal {
-	if c.route.Open {
+	if c.account == "" {
 		return nil
 	}
 	t, x := c.handler.Tokens.Take(c.context, c.account)
@@ -196,7 +197,7 @@
 // useToken spends the token right before the request is sent. A token that has
 // expired, or was spent by an earlier attempt, is replaced.
 func (c *call) useToken() *refusal.Refusal {
-	if c.route.Open {
+	if c.account == "" {
 		return nil
 	}
 	for {
--- a/frontend/early_response_test.go
+++ b/frontend/early_response_test.go
@@ -14,11 +14,13 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/carawayrack/carawayrack/api"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/config"
 	"github.com/carawayrack/carawayrack/forward"
 	"github.com/carawayrack/carawayrack/journal"
 	"github.com/carawayrack/carawayrack/leaseholder"
+	"github.com/carawayrack/carawayrack/limit"
 	"github.com/carawayrack/carawayrack/shardclient"
 	"github.com/carawayrack/carawayrack/slots"
 	"github.com/carawayrack/carawayrack/usage"
@@ -68,10 +70,23 @@
 	}
 }
 
-// leaseholderOf grants every request a slot of a target.
-type leaseholderOf struct{ target *earlyTarget }
+// leaseholderOf grants every request a slot of a target, and lends tokens until tokens of
+// them are lent.
+type leaseholderOf struct {
+	target *earlyTarget
+	tokens int
+	lent   int
+}
 
 func (l *leaseholderOf) call(_, _ string, args, reply any, _ clock.Millis) error {
+	if r, ok := reply.(*leaseholder.TakeReply); ok {
+		r.Life, r.Wait = clock.Second, 10*clock.Second
+		if l.lent < l.tokens {
+			l.lent++
+			r.Loan = limit.Loan{ID: limit.LoanID{Number: uint64(l.lent)}, Tokens: 1}
+		}
+		return nil
+	}
 	r, ok := reply.(*leaseholder.AcquireReply)
 	if !ok {
 		return nil
@@ -89,29 +104,46 @@
 	t := &earlyTarget{l, response, resets, make(chan int, 8)}
 	DeferCleanup(l.Close)
 	go t.run()
-	k := &leaseholderOf{t}
-	s := &config.State{
-		Services: map[string]config.Service{"s": {Name: "s"}}, Routes: map[string]config.Route{"/": {Prefix: "/", Service: "s", Open: true}},
-		Hosts: map[string]config.Host{"h": {ID: "h", Zone: "z"}}, Zones: map[string]config.Zone{"z": {}}, RosterSequence: 1,
-	}
-	state := func() *config.State { return s }
+	s := newState()
+	h := newHandler(&leaseholderOf{target: t}, func() *config.State { return s })
+	x := httptest.NewServer(h)
+	DeferCleanup(x.Close)
+	return t, x.URL + "/"
+}
+
+// newState returns a configuration with one service and one open route.
+func newState() *config.State {
+	s := config.New()
+	s.Services["s"] = config.Service{Name: "s"}
+	s.Routes["/"] = config.Route{Prefix: "/", Service: "s", Open: true}
+	s.Hosts["h"] = config.Host{ID: "h", Zone: "z"}
+	s.Zones["z"] = config.Zone{}
+	s.RosterSequence = 1
+	return s
+}
+
+// newHandler returns a handler that runs, with k as the leaseholder of all shards.
+func newHandler(k *leaseholderOf, state func() *config.State) *Handler {
+	l := &shardclient.Locator{Config: state, Call: k.call, SearchTimeout: clock.Second}
+	fences := &shardclient.Fences{}
 	ledger := &shardclient.Ledger{
-		Host: "h", Locator: &shardclient.Locator{Config: state, Call: k.call, SearchTimeout: clock.Second},
-		Fences: &shardclient.Fences{}, ContactTimeout: 20 * clock.Second, Journal: func(journal.Event) {},
+		Host: "h", Locator: l, Fences: fences, ContactTimeout: 20 * clock.Second, Journal: func(journal.Event) {},
 		Release: func(string, leaseholder.ReleaseArgs) {},
 	}
 	ledger.Run()
 	DeferCleanup(ledger.Close)
+	tokens := &shardclient.Tokens{Host: "h", Locator: l, Fences: fences}
+	tokens.Run()
+	DeferCleanup(tokens.Close)
 	h := &Handler{
 		Host: "h", Config: state, Current: func() bool { return true }, Stopping: func() bool { return false }, Ledger: ledger,
-		Pool: &forward.Pool{}, Usage: &usage.Counter{}, Journal: func(journal.Event) {}, Log: zap.NewNop(),
+		Tokens: tokens, Pool: &forward.Pool{}, Usage: &usage.Counter{}, Journal: func(journal.Event) {}, Log: zap.NewNop(),
+		Alive: func() map[string]api.Flags { return nil },
 	}
 	h.Pool.Run()
 	DeferCleanup(h.Pool.Close)
 	h.Run()
-	x := httptest.NewServer(h)
-	DeferCleanup(x.Close)
-	return t, x.URL + "/"
+	return h
 }
 
 // requestWriter writes a request until the other side closes the connection.
