Explain requests of accounts that have no key

explain-route -account NAME showed the way of a request without a key if the account was gone or had no key, on open routes as if it were served.

Cause: the key of the account was set only if there was one. Change: an account without a key is explained as what its callers get, an unknown key.

Measured: the new spec fails before (no refusal), not after.

--- a/edge/explain_route.go
+++ b/edge/explain_route.go
@@ -7,6 +7,7 @@
 
 	"github.com/carawayrack/carawayrack/admission"
 	"github.com/carawayrack/carawayrack/balance"
+	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/routing"
 	"github.com/carawayrack/carawayrack/token"
@@ -54,8 +55,8 @@
 		return e
 	}
 	e.Configuration.Version = f.Version
-	if a := f.Account(account); a != nil && len(a.Keys) > 0 {
-		r.Header.Set(h.Headers.Key, a.Keys[0])
+	if account != "" {
+		r.Header.Set(h.Headers.Key, keyOf(f.Account(account)))
 	}
 	c := &call{host: h, r: r, context: context.Background(), start: now}
 	x := c.findRoute(f)
@@ -97,6 +98,23 @@
 	return e
 }
 
+// noSuchKey is no key of any account.
+const noSuchKey = "-"
+
+// keyOf returns a key of an account, noSuchKey if it has none or is nil: nobody can then send
+// requests for it.
+func keyOf(a *catalog.Account) string {
+	if a == nil {
+		return noSuchKey
+	}
+	for _, k := range a.Keys {
+		if k != "" {
+			return k
+		}
+	}
+	return noSuchKey
+}
+
 // explainAccount returns the account's line, and the refusal if it has no token.
 func (c *call) explainAccount(now clock.Millis) (*routing.AccountLine, *refusal) {
 	a := c.account
--- a/edge/explain_route_test.go
+++ b/edge/explain_route_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/carawayrack/carawayrack/balance"
+	"github.com/carawayrack/carawayrack/catalog"
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/coordinator"
 	"github.com/carawayrack/carawayrack/routing"
@@ -86,6 +87,19 @@
 		Expect(w.explain("/safe/x", "", "acc").Account).To(HaveField("Name", "acc"))
 	})
 
+	// Guards against an explanation for a caller without a key in place of the account.
+	It("says that an account without a key, or one that is gone, gets no request through", func() {
+		w := newTestHost(newStandin("t", ok))
+		w.configure(func(c *catalog.Config) {
+			c.Accounts = append([]catalog.Account{{Name: "keyless", Keys: []string{""}}}, c.Accounts...)
+		})
+		for _, account := range []string{"gone", "keyless"} {
+			Expect(w.explain("/open/x", "", account).Refusal).To(HaveField("Reason", string(UnknownKey)))
+		}
+		Expect(w.explain("/open/x", "", "acc").Account).To(HaveField("Name", "acc"))
+		Expect(w.explain("/open/x", "", "").Refusal).To(BeNil())
+	})
+
 	It("creates nothing at a host that has served no request", func() {
 		w := newTestHost(newStandin("t", ok))
 		before := w.usage()
