--- a/edge/explain_route.go
+++ b/edge/explain_route.go
@@ -98,8 +98,8 @@
 	return e
 }
 
-// noSuchKey is no key of any account.
-const noSuchKey = "-"
+// noSuchKey is no key that a caller could send: a header cannot contain it.
+const noSuchKey = "\x00"
 
 // keyOf returns a key of an account, noSuchKey if it has none or is nil: nobody can then send
 // requests for it.
