Let hosts use their own parts while control processes without a leader reply

An account within its rate was refused 4 of 5 requests in the second after a kill of the leader, where its hosts may use 0.7 of the rate.

Cause: each reply to an exchange counted as a lender's, so that the host's own bucket got no tokens for the time before it. Control processes reply each 100 ms also while nobody lends. Change: replies tell for how long no leader could lend (LenderAge, passed on with reports), and only the time until then is left out.

Measured: the new spec of package token fails before (2 instead of 14 tokens in 2 s).

--- a/controlplane/client.go
+++ b/controlplane/client.go
@@ -260,7 +260,7 @@
 	}
 	l.noteReply()
 	l.Tokens.Settle(spent)
-	l.Tokens.Add(p.Grants)
+	l.Tokens.Add(p.Grants, p.LenderAge)
 	if !p.Known || !l.apply(p.Update) {
 		return false
 	}
--- a/coordinator/exchange.go
+++ b/coordinator/exchange.go
@@ -81,7 +81,7 @@
 	r.recordRollouts(now, rollout.HostReport{Host: a.Host.ID, Instance: a.Instance, Leaving: a.Host.Leaving, Reports: a.Rollouts})
 	r.lender.returnTokens(now, a.Returns)
 	r.lender.debit(now, spent)
-	p := ExchangeReply{Known: r.proven, Age: now - r.freshAt, Grants: r.lender.prefetch(now, a.Wants)}
+	p := ExchangeReply{Known: r.proven, Age: now - r.freshAt, Grants: r.lender.prefetch(now, a.Wants), LenderAge: r.lender.lenderAge(now)}
 	// A replica that lags behind must not replace a host's state by an older one.
 	if !r.proven || a.Sequence > r.state.Sequence {
 		p.Known = false
--- a/coordinator/lender.go
+++ b/coordinator/lender.go
@@ -38,6 +38,8 @@
 	ledAt clock.Millis
 	// leaderReplyAt is when the leader last responded to a report.
 	leaderReplyAt clock.Millis
+	// couldLendAt is when a leader could last lend tokens, as far as this process knows.
+	couldLendAt clock.Millis
 	// leaderAddr is the address of the leader, empty if none is known.
 	leaderAddr string
 }
@@ -162,6 +164,14 @@
 	return now >= l.lendFrom && now < l.lendUntil-leaseMargin
 }
 
+// lenderAge returns the time since a leader could last lend tokens.
+func (l *lender) lenderAge(now clock.Millis) clock.Millis {
+	if end := min(now, l.lendUntil-leaseMargin); l.leading && end >= l.lendFrom {
+		l.couldLendAt = max(l.couldLendAt, end)
+	}
+	return now - l.couldLendAt
+}
+
 // debit takes tokens that hosts have spent of their own parts off the buckets, or keeps them
 // for the report to the leader. While no leader replies none of them is counted: no tokens
 // are lent in that time, or the leader takes the hosts of this process as absent.
--- a/coordinator/limits_model_test.go
+++ b/coordinator/limits_model_test.go
@@ -255,7 +255,7 @@
 		h.exchangeAt = m.now + 100
 		h.repliedAt = m.now
 		h.tokens.Settle(spent)
-		h.tokens.Add(r.Grants)
+		h.tokens.Add(r.Grants, r.LenderAge)
 		if r.Known {
 			h.state = r.Update.Sequence
 			h.currentAt = max(h.currentAt, sent-r.Age)
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -61,6 +61,9 @@
 	FleetChange *FleetChange
 	// Grants are the tokens lent, by account.
 	Grants map[string]int
+	// LenderAge is the time since a leader could last lend tokens, as far as this process
+	// knows.
+	LenderAge clock.Millis
 }
 
 // Fleet lists the hosts and the control processes. Digest identifies the list.
@@ -145,6 +148,8 @@
 	FleetChange *FleetChange
 	// Grants are the tokens lent, by account.
 	Grants map[string]int
+	// LenderAge is the time since the leader, or one before it, could last lend tokens.
+	LenderAge clock.Millis
 	// Member is true if the sender is a voter or learner at its address.
 	Member bool
 }
--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -25,6 +25,7 @@
 	r.lender.returnTokens(now, a.Returns)
 	r.lender.debit(now, a.Spent)
 	p.Grants = r.lender.prefetch(now, a.Wants)
+	p.LenderAge = r.lender.lenderAge(now)
 	if proof := r.node.LastProof(); proof.At > 0 {
 		p.Proven, p.Age, p.Sequence = true, now-proof.At, proof.Sequence
 	}
@@ -84,6 +85,7 @@
 	}
 	r.fleet.ackedDigest = p.Held
 	r.lender.leaderReplyAt = now
+	r.lender.couldLendAt = max(r.lender.couldLendAt, m.SentAt-p.LenderAge)
 	r.fleet.adopt(p.Fleet, p.FleetChange)
 	for n, k := range p.Grants {
 		r.lender.addLoan(now, &loan{Account: n, Tokens: k})
--- a/token/borrower.go
+++ b/token/borrower.go
@@ -70,7 +70,7 @@
 	// with what is now its round.
 	spent map[string]int
 	round uint64
-	// lenderAt is when a control process last replied.
+	// lenderAt is when a control process last lent tokens or could have done so.
 	lenderAt clock.Millis
 	// fallbackUntil is the end of the time in which the host does not try to
 	// borrow.
@@ -311,11 +311,12 @@
 	}
 }
 
-// Add puts the tokens of a control process's reply, by account, into the caches.
-func (b *Borrower) Add(g map[string]int) {
+// Add puts the tokens of a control process's reply, by account, into the caches. A control
+// process replies also while nobody lends, which lenderAge tells.
+func (b *Borrower) Add(g map[string]int, lenderAge clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lenderAt = b.Clock.Now()
+	b.lenderAt = max(b.lenderAt, b.Clock.Now()-lenderAge)
 	for n, k := range g {
 		if p := b.accounts[n]; p != nil {
 			p.Add(k)
--- a/token/borrower_test.go
+++ b/token/borrower_test.go
@@ -46,6 +46,28 @@
 		Expect(float64(n)).To(BeNumerically(">=", a.Rate/10*10*fallbackShare*0.9))
 	})
 
+	// Guards against a host's part that gets no tokens because control processes without a
+	// leader still reply to exchanges.
+	It("come at the part's rate also while control processes reply that nobody lends", func() {
+		a := &catalog.Account{Name: "acc", Rate: 100, Burst: 100}
+		now := clock.Millis(100_000)
+		t := &Borrower{Hosts: func() int { return 10 }, Reachable: func() bool { return true }, Random: func() float64 { return 0 }}
+		t.Clock.Read = func() clock.Millis { return now }
+		t.Borrow = func(coordinator.BorrowArgs) (coordinator.BorrowReply, error) { return coordinator.BorrowReply{}, nil }
+		t.Run()
+		lost, n := now, 0
+		for ; now < lost+2000; now += 5 {
+			if now%100 == 0 {
+				t.Add(nil, now-lost)
+			}
+			if ok, _ := t.Take(a); ok {
+				n++
+			}
+		}
+		Expect(float64(n)).To(BeNumerically("~", a.Rate/10*fallbackShare*2, 2))
+		Expect(t.State(now, a).LenderAge).To(Equal(clock.Millis(2000)))
+	})
+
 	It("are reported as spent until a control process knows", func() {
 		a := &catalog.Account{Name: "acc", Rate: 100, Burst: 100}
 		t := &Borrower{Hosts: func() int { return 1 }, Reachable: func() bool { return true }, Random: func() float64 { return 0.5 }}
