Return tokens that expire unspent

Cause: a request holds its token while it waits for a slot. After 0.8 s the token expires, the request takes another one, and the expired one counted as spent, so that requests that never ran used up the rate. Change: a host returns the tokens of an expired loan that it did not spend; the leaseholder counts each loan 300 ms longer, in which they come back. A token cannot be used after its loan has expired by the host's clock.

Measured: the first new spec fails with the former cache.

--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -14,6 +14,10 @@
 // for clocks that run at different speeds.
 const loanMarginDivisor = 10
 
+// returnTime is how much longer the leaseholder counts a loan, so that the tokens that a
+// host did not spend come back before it ends.
+const returnTime = 300 * clock.Millis(1)
+
 // LoanID identifies a loan across changes of leaseholder.
 type LoanID struct {
 	Term, Number uint64
@@ -83,6 +87,7 @@
 	if _, ok := b.loans[l.ID]; ok || l.Until <= now {
 		return
 	}
+	l.Until += returnTime
 	b.addLoan(l)
 	b.level = max(min(b.level, b.capacity()), 0)
 }
@@ -109,7 +114,7 @@
 	b.lent -= int64(l.Tokens) * unitsPerToken
 }
 
-// advance refills the bucket up to now and ends expired loans. Their tokens
+// advance refills the bucket up to now and ends loans that no host has settled. Their tokens
 // count as spent.
 func (b *Bucket) advance(now clock.Millis) {
 	if now > b.updatedAt {
@@ -140,7 +145,7 @@
 		return Loan{}, b.waitTime(now)
 	}
 	b.lastNumber++
-	l := Loan{ID: LoanID{b.Term, b.lastNumber}, Host: host, Tokens: n, Until: now + lifetime + lifetime/loanMarginDivisor}
+	l := Loan{ID: LoanID{b.Term, b.lastNumber}, Host: host, Tokens: n, Until: now + lifetime + lifetime/loanMarginDivisor + returnTime}
 	b.level -= int64(n) * unitsPerToken
 	b.addLoan(l)
 	return l, 0
@@ -183,6 +188,12 @@
 	b.level = min(b.level+int64(unspent)*unitsPerToken, b.capacity())
 }
 
+// Full reports whether the bucket holds its whole burst, so that it need not be kept.
+func (b *Bucket) Full(now clock.Millis) bool {
+	b.advance(now)
+	return b.lent == 0 && b.unreported == 0 && b.level >= b.capacity()
+}
+
 // EndLoans ends the loans of a host that can no longer spend tokens. Their
 // tokens count as spent.
 func (b *Bucket) EndLoans(now clock.Millis, host string) {
--- a/limit/bucket_test.go
+++ b/limit/bucket_test.go
@@ -245,6 +245,39 @@
 	})
 })
 
+// Guard against tokens that are lost while requests wait for something else than tokens.
+var _ = Describe("tokens that expire unspent", func() {
+	lend := func() (*Bucket, *Cache, Loan) {
+		b, c := &Bucket{RatePerMinute: 1, Burst: 10, Term: 1}, &Cache{}
+		b.Run(0, 0)
+		b.Fill()
+		l, _ := b.Lend(0, "h", 4, 0, 100)
+		c.Add(0, 100, l)
+		return b, c, l
+	}
+
+	It("go back into the bucket, once", func() {
+		b, c, l := lend()
+		spent, _ := c.Reserve(1)
+		held, _ := c.Reserve(1)
+		Expect(c.Use(2, spent)).To(BeTrue())
+		Expect(c.Use(100, held)).To(BeFalse())
+		Expect(c.TakeSettlements()).To(Equal([]Settlement{{ID: l.ID, Unspent: 3}}))
+		for range 2 {
+			b.Settle(200, l.ID, 3)
+			n, lent := b.Tokens(200)
+			Expect([]int{n, lent}).To(Equal([]int{9, 0}))
+		}
+	})
+
+	It("count as spent if the host does not return them in time", func() {
+		b, _, l := lend()
+		b.Settle(110+returnTime, l.ID, 4)
+		n, lent := b.Tokens(110 + returnTime)
+		Expect([]int{n, lent}).To(Equal([]int{6, 0}))
+	})
+})
+
 var _ = Describe("Cache", func() {
 	It("refuses loans of a leaseholder that was replaced", func() {
 		c := &Cache{}
--- a/limit/cache.go
+++ b/limit/cache.go
@@ -144,13 +144,16 @@
 	return true
 }
 
-// dropExpired drops expired loans without a settlement.
+// dropExpired drops expired loans. Their tokens can no longer be used, so that those that
+// were not go back with the settlement.
 func (c *Cache) dropExpired(now clock.Millis) {
 	rest := c.loans[:0]
 	for _, loan := range c.loans {
 		if now < loan.until {
 			rest = append(rest, loan)
+			continue
 		}
+		c.ended = append(c.ended, Settlement{ID: loan.id, Unspent: loan.unspent + loan.free + loan.reserved})
 	}
 	c.loans = rest
 }
