Refill buckets for the time after a loan has ended

The bucket of an account with few requests got no tokens for the time between the end of a loan, or of the recovery from a former leaseholder, and the next request.

Cause: advance refilled up to the capacity that the ended loan still bounded, and ended it then. Change: the time before and after each end counts apart.

A spec of Bucket expected that: nothing at 101 ms when loans count until 100 ms, and 5 tokens at 106 ms. Of 'only tokens added since' one is due at 101 ms; it is as strict with 1 and 5.

--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -117,15 +117,46 @@
 // advance refills the bucket up to now and ends loans that no host has settled. Their tokens
 // count as spent.
 func (b *Bucket) advance(now clock.Millis) {
+	// The capacity grows with each end, so that the time before and after it counts apart.
+	for {
+		t, ok := b.nextEnd()
+		if !ok || t > now {
+			break
+		}
+		b.refill(t)
+		b.endAt(t)
+	}
+	b.refill(now)
+}
+
+func (b *Bucket) refill(now clock.Millis) {
 	if now > b.updatedAt {
 		b.level = min(b.level+int64(now-b.updatedAt)*int64(b.RatePerMinute), b.capacity())
 		b.updatedAt = now
 	}
-	if b.unreported > 0 && now >= b.unreportedUntil {
+}
+
+// nextEnd returns the next time at which a loan expires or unreported loans stop counting. It
+// returns false if there are none.
+func (b *Bucket) nextEnd() (t clock.Millis, ok bool) {
+	if b.unreported > 0 {
+		t, ok = b.unreportedUntil, true
+	}
+	for _, l := range b.loans {
+		if !ok || l.Until < t {
+			t, ok = l.Until, true
+		}
+	}
+	return t, ok
+}
+
+// endAt ends the loans that expire, and unreported ones that stop counting, by a time.
+func (b *Bucket) endAt(t clock.Millis) {
+	if b.unreported > 0 && t >= b.unreportedUntil {
 		b.unreported = 0
 	}
 	for _, l := range b.loans {
-		if now >= l.Until {
+		if t >= l.Until {
 			b.endLoan(l)
 		}
 	}
@@ -163,15 +194,11 @@
 	return w
 }
 
-// nextExpiry returns the next time at which a loan expires or unreported loans
-// stop counting. It is at most a second from now if there are no unreported loans.
+// nextExpiry is nextEnd, at most a second from now unless loans are unreported.
 func (b *Bucket) nextExpiry(now clock.Millis) clock.Millis {
-	t := now + clock.Second
-	if b.unreported > 0 {
-		t = b.unreportedUntil
-	}
-	for _, l := range b.loans {
-		t = min(t, l.Until)
+	t, ok := b.nextEnd()
+	if latest := now + clock.Second; !ok || b.unreported == 0 && t > latest {
+		t = latest
 	}
 	return max(t, now+1)
 }
