Keep the bucket of a deleted account at its leaseholder until it is full

Cause: the leaseholder forgot the bucket with the account, and filled that of each new account. Change: it keeps the bucket until it is full; that of a new account holds what the time since this member knew all loans allows, so that it is full unless the leaseholder has just changed.

--- a/leaseholder/shard.go
+++ b/leaseholder/shard.go
@@ -228,7 +228,7 @@
 		p.Service = n.Services[name].WithDefaults()
 		p.SetEvacuatedZones(now, n.EvacuatedZones())
 	}
-	s.updateBuckets(now, old)
+	s.updateBuckets(now)
 }
 
 // applyRoster applies a new roster. While the roster changes, the hosts of both
--- a/leaseholder/tokens.go
+++ b/leaseholder/tokens.go
@@ -4,9 +4,7 @@
 	"strconv"
 
 	"github.com/carawayrack/carawayrack/clock"
-	"github.com/carawayrack/carawayrack/config"
 	"github.com/carawayrack/carawayrack/limit"
-	"github.com/carawayrack/carawayrack/placement"
 	"github.com/carawayrack/carawayrack/refusal"
 )
 
@@ -34,13 +32,13 @@
 // bucket returns the bucket of an account, nil if there is no such account. It
 // creates the bucket if needed.
 func (s *Shard) bucket(now clock.Millis, name string) *limit.Bucket {
-	if b := s.buckets[name]; b != nil {
-		return b
-	}
 	a, ok := s.state.Accounts[name]
 	if !ok {
 		return nil
 	}
+	if b := s.buckets[name]; b != nil {
+		return b
+	}
 	b := &limit.Bucket{RatePerMinute: a.RatePerMinute, Burst: a.Burst, Term: s.term}
 	b.Run(s.bucketStart(now))
 	s.buckets[name] = b
@@ -87,29 +85,21 @@
 	}
 }
 
-// updateBuckets applies changed rates and bursts. The bucket of an account that is
-// created while this member is leaseholder and all loans are known starts full, since
-// the account has spent nothing yet.
-func (s *Shard) updateBuckets(now clock.Millis, old *config.State) {
-	if s.term == 0 || old == nil {
+// updateBuckets applies changed rates and bursts. The bucket of an account that the
+// configuration lacks is kept until it is full, for the case that the account comes back. That
+// of a new account fills up from the time at which this member knew all loans: a former
+// leaseholder may have lent tokens of it.
+func (s *Shard) updateBuckets(now clock.Millis) {
+	if s.term == 0 {
 		return
 	}
 	for name, b := range s.buckets {
 		a, ok := s.state.Accounts[name]
-		if !ok {
+		switch {
+		case !ok && b.Full(now):
 			delete(s.buckets, name)
-			continue
-		}
-		if a.RatePerMinute != b.RatePerMinute || a.Burst != b.Burst {
+		case ok && (a.RatePerMinute != b.RatePerMinute || a.Burst != b.Burst):
 			b.SetLimit(now, a.RatePerMinute, a.Burst)
 		}
 	}
-	if s.loansKnownAt == 0 {
-		return
-	}
-	for name := range s.state.Accounts {
-		if _, ok := old.Accounts[name]; !ok && placement.AccountShard(name) == s.Number {
-			s.bucket(now, name).Fill()
-		}
-	}
 }
