End the grants of a failed candidacy at once

Each candidate grants its term to itself for the length of a lease, and kept that grant after it had given the term up. Two candidates that began within a lease of each other refused each other, in turn. Change: a member that gives up a term ends its own grant and tells the others to end theirs. It never uses the term again, so that no two can hold the lease.

--- a/lease/member.go
+++ b/lease/member.go
@@ -177,8 +177,17 @@
 }
 
 // dropTerm gives up the term, for example because the lease expired or the
-// campaign failed.
+// campaign failed. The grants of the term, also its own, end at once: they would keep
+// others from the lease, and the member never uses this term again.
 func (m *Member) dropTerm(now clock.Millis) {
+	for _, id := range m.memberIDs() {
+		x := Message{Shard: m.Shard, Kind: Resign, From: m.Self, To: id, Incarnation: m.Incarnation, Term: m.term}
+		if id == m.Self {
+			m.endGrant(now, x)
+			continue
+		}
+		m.outbox = append(m.outbox, x)
+	}
 	m.term = 0
 	m.grantedRoundAt = map[string]clock.Millis{}
 	m.roundSentAt = map[uint64]clock.Millis{}
@@ -239,13 +248,22 @@
 	case Response:
 		m.stepResponse(now, x)
 	case Resign:
-		if m.grantedTo == holderID(x) && m.grantedTerm == x.Term {
-			m.grantedUntil = now
+		if m.endGrant(now, x) {
 			m.nextRequestAt = now + m.backoff(max(m.rank(), 0))/4
 		}
 	}
 }
 
+// endGrant ends the grant to a process that gives up its term. It returns false if this member
+// has granted another one.
+func (m *Member) endGrant(now clock.Millis, x Message) bool {
+	if m.grantedTo != holderID(x) || m.grantedTerm != x.Term {
+		return false
+	}
+	m.grantedUntil = now
+	return true
+}
+
 // respond grants or rejects a request.
 func (m *Member) respond(now clock.Millis, x Message) Message {
 	r := Message{Shard: m.Shard, Kind: Response, From: m.Self, To: x.From, Incarnation: x.Incarnation, Term: x.Term, Round: x.Round}
@@ -299,17 +317,9 @@
 
 // Release gives up the lease and notifies the other members, for a planned stop.
 func (m *Member) Release(now clock.Millis) {
-	if m.term == 0 {
-		return
-	}
-	for _, id := range m.memberIDs() {
-		if id != m.Self {
-			m.outbox = append(m.outbox, Message{
-				Shard: m.Shard, Kind: Resign, From: m.Self, To: id, Incarnation: m.Incarnation, Term: m.term,
-			})
-		}
+	if m.term != 0 {
+		m.dropTerm(now)
 	}
-	m.dropTerm(now)
 }
 
 // holderID identifies a process: its host and its incarnation.
--- a/lease/member_test.go
+++ b/lease/member_test.go
@@ -40,6 +40,8 @@
 	groups    [][]string
 	// assignAt is when each member gets the newest groups.
 	assignAt map[string]clock.Millis
+	// calm is true if nothing but messages is disturbed.
+	calm bool
 }
 
 const (
@@ -128,6 +130,9 @@
 // disturb freezes, restarts and disconnects members, releases leases and changes
 // the groups in two steps, as a committed configuration does.
 func (g *group) disturb() {
+	if g.calm {
+		return
+	}
 	id := g.ids()[g.r.Intn(4)]
 	switch g.r.Intn(1500) {
 	case 0:
@@ -176,6 +181,27 @@
 	}
 }
 
+// awaitLeaseholder lets time pass until a member other than one holds the lease.
+func (g *group) awaitLeaseholder(other string) string {
+	for range 100 * testDuration {
+		g.step()
+		for _, id := range g.ids() {
+			if _, ok := g.members[id].Holds(g.localTime(id)); ok && id != other {
+				return id
+			}
+		}
+	}
+	Fail("no leaseholder")
+	return ""
+}
+
+// awaitSteps lets time pass.
+func (g *group) awaitSteps(n clock.Millis) {
+	for range n {
+		g.step()
+	}
+}
+
 // check asserts that no two members hold the lease. It leaves out frozen members,
 // which cannot act on theirs.
 func (g *group) check() {
@@ -205,6 +231,30 @@
 		}
 	})
 
+	// Guards against candidates that keep each other from the lease with the grants that they
+	// made to themselves.
+	It("has another leaseholder within three lengths of a lease after the first has died", func() {
+		for k := 0; k < 300; k++ {
+			g := newGroup(*seed + int64(k))
+			g.calm = true
+			first := g.awaitLeaseholder("")
+			if k%2 == 0 {
+				// A member that has restarted grants nothing for a while.
+				for _, id := range g.ids() {
+					if id != first {
+						g.start(id)
+						break
+					}
+				}
+				g.awaitSteps(2 * testDuration)
+			}
+			died := g.now
+			g.frozenUntil[first] = g.now + 1_000_000
+			g.awaitLeaseholder(first)
+			Expect(g.now-died).To(BeNumerically("<=", 3*testDuration), "seed %d", *seed+int64(k))
+		}
+	})
+
 	It("grants nothing after a restart until grants made before it have expired", func() {
 		m := &Member{Self: "a", Incarnation: "2", Duration: 100, DriftPercent: 10, Random: func(int) int { return 0 }}
 		m.SetGroups([][]string{{"a", "b", "c"}})
