Let requests wait for tokens after the search for a leaseholder

When an account had no leaseholder for longer than tokenWait, all requests that had waited were refused for their rate with the first reply that had no token, though the account was within it.

Cause: the time of the search counted as waiting for the rate. Change: after such a search, or a recovery, requests wait for up to 1.5 s. Those that the account's rate cannot serve in time by their place in the queue are refused at once, with the time of that place as Retry-After.

--- a/shardclient/tokens.go
+++ b/shardclient/tokens.go
@@ -31,8 +31,8 @@
 	takeTimeout   = 500 * clock.Millis(1)
 	idleAfter     = 100 * clock.Millis(1)
 	sweepInterval = 50 * clock.Millis(1)
-	// recoveryWait is how much longer requests wait while a new leaseholder
-	// recovers the loans of former ones.
+	// recoveryWait is how long requests wait at most after the account had no leaseholder, or
+	// one that recovers the loans of former ones: they have come in together.
 	recoveryWait = 1500 * clock.Millis(1)
 )
 
@@ -44,6 +44,8 @@
 	cache    limit.Cache
 	waiters  []*tokenWaiter
 	fetching bool
+	// patientUntil is the end of recoveryWait.
+	patientUntil clock.Millis
 }
 
 // tokenWaiter is a request that waits for a token.
@@ -174,12 +176,21 @@
 	return len(a.waiters), a.cache.PrefetchNeeded(a.tokens.Clock.Now()), a.cache.TakeSettlements(), true
 }
 
+// noteRecovery extends the time for which requests wait if the account had no leaseholder since
+// a time, or has one that recovers.
+func (a *account) noteRecovery(since, now clock.Millis, r *leaseholder.TakeReply) {
+	if r.Settling || now-since > a.tokens.MaxWait {
+		a.patientUntil = now + recoveryWait
+	}
+}
+
 // distribute adds a loan to the cache, reserves tokens for the waiting requests and
 // returns how long to wait before the next attempt to borrow.
 func (a *account) distribute(sentAt clock.Millis, r *leaseholder.TakeReply) clock.Millis {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.tokens.Clock.Now()
+	a.noteRecovery(sentAt, now, r)
 	if r.Loan.ID.Term >= a.tokens.Fences.Term(placement.AccountShard(a.name)) {
 		a.cache.Add(sentAt, r.Life, r.Loan)
 	}
@@ -194,21 +205,18 @@
 	if r.Loan.Tokens > 0 || len(a.waiters) == 0 {
 		return 0
 	}
-	extraWait := clock.Millis(0)
-	if r.Settling {
-		// The wait is due to the change of leaseholder, not to the account's rate.
-		extraWait = recoveryWait
-	}
-	a.refuseLate(now-extraWait, r.Wait)
+	a.refuseLate(now, r.Wait)
 	return r.Wait
 }
 
-// refuseLate refuses the requests that would wait too long for the next token. The
-// caller must hold mu.
-func (a *account) refuseLate(now, wait clock.Millis) {
+// refuseLate refuses the requests that would wait too long for a token: those in the queue
+// get theirs at the rate of the account at best. The caller must hold mu.
+func (a *account) refuseLate(now, next clock.Millis) {
+	gap := a.tokenInterval()
 	rest := a.waiters[:0]
 	for _, w := range a.waiters {
-		if now+wait <= w.until {
+		wait := next + clock.Millis(float64(len(rest))*gap)
+		if now+wait <= max(w.until, a.patientUntil) {
 			rest = append(rest, w)
 			continue
 		}
@@ -219,6 +227,15 @@
 	a.waiters = rest
 }
 
+// tokenInterval returns the time between two tokens of the account in milliseconds, 0 if it is
+// not known.
+func (a *account) tokenInterval() float64 {
+	if s := a.tokens.Locator.Config(); s != nil && s.Accounts[a.name].RatePerMinute > 0 {
+		return 60 * float64(clock.Second) / float64(s.Accounts[a.name].RatePerMinute)
+	}
+	return 0
+}
+
 // refuseAll refuses all waiting requests.
 func (a *account) refuseAll(x *refusal.Refusal) {
 	a.mu.Lock()
