Deny routes only with a current configuration in carawayrack host

A host that had just started answered 404 (routeUnknown) to proper requests: 5 in a play of the lab spec of killed leaseholders, where none was on an unknown route.

Cause: before its first configuration a host has no routes, and the route was looked up before the host asked whether its configuration is current. Change: without a proof of that it answers configStale, which says that another host may serve the request.

Measured: the new spec fails before (404 instead of 503).

--- a/frontend/api_key_test.go
+++ b/frontend/api_key_test.go
@@ -57,6 +57,18 @@
 	return r.StatusCode
 }
 
+var _ = Describe("a request without a route", func() {
+	// Guards against hosts that deny routes before they have a configuration.
+	It("is refused as unknown only by a host whose configuration is current", func() {
+		w := newKeyedHost()
+		Expect(w.get("/none", "Bearer "+w.valid)).To(Equal(http.StatusNotFound))
+		w.handler.Current = func() bool { return false }
+		Expect(w.get("/none", "Bearer "+w.valid)).To(Equal(http.StatusServiceUnavailable))
+		w.state = config.New()
+		Expect(w.get("/closed", "Bearer "+w.valid)).To(Equal(http.StatusServiceUnavailable))
+	})
+})
+
 var _ = Describe("the API key of a request", func() {
 	// Guards against a withdrawn key that is good as no key on an open route.
 	It("must be valid on open routes too, where none is needed", func() {
--- a/frontend/call.go
+++ b/frontend/call.go
@@ -97,6 +97,10 @@
 func (c *call) admit() *refusal.Refusal {
 	c.state = c.handler.Config()
 	r, ok := c.state.Match(c.r.URL.Path)
+	if !ok && !c.handler.Current() {
+		// A newer configuration may have the route, as at a host that has just started.
+		return refusal.New(refusal.ConfigStale, "this host cannot prove that its configuration is in force")
+	}
 	if !ok {
 		return refusal.New(refusal.RouteUnknown, c.r.URL.Path)
 	}
