--- a/coordinator/limits_served_test.go
+++ b/coordinator/limits_served_test.go
@@ -78,7 +78,7 @@
 			}
 			asked := 0.9 * 64 * float64(span) / 1000 * servedRuns
 			// Own parts are 0.7 of the rate, of which arrivals by chance use three quarters.
-			Expect(asked-float64(refused)).To(BeNumerically(">=", asked/0.9*0.7*0.75))
+			Expect(asked - float64(refused)).To(BeNumerically(">=", asked/0.9*0.7*0.75))
 		},
 		Entry(nil, "leader killed", 1*clock.Second),
 		Entry(nil, "leader frozen", 1*clock.Second),
