Use healthy targets in calm too

Unused targets were tried only from 5 % unserved on, so that in calm some healthy targets got nothing for 2 s, and a sudden fault makes that count. Change: owners try a healthy target without requests for 1.3 s in calm too, and an unhealthy or slow one after 6 s.

--- a/balance/cost.go
+++ b/balance/cost.go
@@ -87,12 +87,18 @@
 	if t.cold(now) {
 		c += l.add("cold", costCold)
 	}
-	if r := t.latency / max(p.averageLatency, 1); r > 2 {
-		c += l.add("slow", min(costSlow*(r-1), costSlowMax))
+	if p.slow(t) {
+		c += l.add("slow", min(costSlow*(p.relativeLatency(t)-1), costSlowMax))
 	}
 	return c
 }
 
+// relativeLatency returns the target's average latency as a multiple of the service's.
+func (p *Pool) relativeLatency(t *target) float64 { return t.latency / max(p.averageLatency, 1) }
+
+// slow reports whether the target takes more than twice the average.
+func (p *Pool) slow(t *target) bool { return p.relativeLatency(t) > 2 }
+
 // risk estimates the probability that the target fails the next request.
 func (p *Pool) risk(now clock.Millis, t *target) float64 {
 	if t.checked && t.successesNeeded == checkedSuccessesNeeded {
--- a/balance/unused.go
+++ b/balance/unused.go
@@ -16,6 +16,10 @@
 	// Deployments require requests at most of the healthy targets within 2 s; the
 	// other second is for the next request of the owner to arrive.
 	unusedAfter = 1 * clock.Second
+	// calmUnusedAfter replaces it while few requests are not served, and recoveredAfter for
+	// unhealthy and slow targets then: they may have recovered, but others serve.
+	calmUnusedAfter = 1300 * clock.Millis(1)
+	recoveredAfter  = 6 * clock.Second
 	// unusedStagger is the additional time for each further owner: the first one may
 	// have died or may get no requests, and in services with few targets a host gets
 	// less than one request a second. It is ten times the delay of observations
@@ -35,17 +39,20 @@
 }
 
 // unused returns the target that has been without requests for longest and must be
-// tried by a request of this host, nil if there is none. While many requests are not
-// served, the targets in use may be the worse ones, so that requests that must not be
-// repeated try unused targets as well. Targets whose health checks have not passed are
-// left out. Retries and hedges try none: a request of theirs has failed already.
+// tried by a request of this host, nil if there is none. Healthy targets always get some, so
+// that requests which a sudden fault breaks off do not find the others unused. While many
+// requests are not served, the targets in use may be the worse ones, so that unhealthy targets
+// are tried as well, also by requests that must not be repeated. Targets whose health checks
+// have not passed are left out. Retries and hedges try none: a request of theirs has failed
+// already.
 func (p *Pool) unused(now clock.Millis, a Request) *target {
-	if a.Repeated || !p.listed || !p.UnservedShare(now).many() {
+	if a.Repeated || !p.listed {
 		return nil
 	}
+	many := p.UnservedShare(now).Many()
 	var best *target
 	for _, t := range p.order {
-		if !p.unusedDue(now, t) || !p.usable(now, t, a) || t.totalInFlight(now) >= t.slots() {
+		if !p.unusedDue(now, t, many) || !p.usable(now, t, a) || t.totalInFlight(now) >= t.slots() {
 			continue
 		}
 		if best == nil || t.requestedAt < best.requestedAt {
@@ -55,10 +62,19 @@
 	return best
 }
 
-// unusedDue reports whether this host should try a target because it is unused.
-func (p *Pool) unusedDue(now clock.Millis, t *target) bool {
+// unusedDue reports whether this host should try a target because it is unused. Many is true if
+// many requests are not served.
+func (p *Pool) unusedDue(now clock.Millis, t *target, many bool) bool {
+	after := unusedAfter
+	switch {
+	case many:
+	case t.successesNeeded > 0 || p.slow(t):
+		after = recoveredAfter
+	default:
+		after = calmUnusedAfter
+	}
 	rank := slices.Index(t.owners[:min(len(t.owners), unusedOwners)], p.Self)
-	if rank < 0 || t.trying || now-t.requestedAt < unusedAfter+clock.Millis(rank)*unusedStagger {
+	if rank < 0 || t.trying || now-t.requestedAt < after+clock.Millis(rank)*unusedStagger {
 		return false
 	}
 	if t.successesNeeded > 0 && (t.probing || now < t.probeAt) {
@@ -67,6 +83,6 @@
 	return t.successesNeeded <= checkedSuccessesNeeded
 }
 
-// many reports whether so many requests are not served, or so little is known of
+// Many reports whether so many requests are not served, or so little is known of
 // them, that unused targets must be tried.
-func (s UnservedShare) many() bool { return !s.Known || s.Share >= manyUnserved }
+func (s UnservedShare) Many() bool { return !s.Known || s.Share >= manyUnserved }
--- a/edge/unused_target.go
+++ b/edge/unused_target.go
@@ -11,10 +11,11 @@
 // three of them, each of which it tries once a second at most.
 const maxUnusedTargetLines = 5
 
-// logUnusedTarget counts and logs that the request tries an unused target.
+// logUnusedTarget counts and logs that the request tries an unused target because many
+// requests are not served. That healthy targets get one now and then is not worth a line.
 func (c *call) logUnusedTarget(x balance.Choice) {
 	u := x.Unused
-	if u == nil {
+	if u == nil || !u.Unserved.Many() {
 		return
 	}
 	c.host.metrics.unusedTargets.Add(c.service, 1)
