Lend at once although a voter has lost its disk

Cause: a new leader lends at once only if all voters follow it, since one that does not may be a former leader. A voter without its disk comes back with another ID. Change: a report of another process from the address of a voter shows that the voter has ended; the leader no longer waits for it, nor takes unknown hosts as absent for its sake.

Measured: the new spec of replica fails without the change of Followed; its opposite (the voter's own ID, other addresses) holds.

--- a/coordinator/report.go
+++ b/coordinator/report.go
@@ -14,6 +14,7 @@
 		return p
 	}
 	p.Led = true
+	r.node.NoteProcess(a.ID, a.Addr)
 	if !p.Member && a.ID != "" {
 		r.admit(now, a.ID, a.Addr)
 	}
--- a/replica/election_test.go
+++ b/replica/election_test.go
@@ -167,6 +167,45 @@
 	})
 })
 
+var _ = ginkgo.Describe("a leader whose voters do not all respond", func() {
+	// lead returns a leader of three restarted voters, of which one does not respond.
+	lead := func(seed int64) (e *electorate, l *Node) {
+		e = newElectorate(seed)
+		for e.now < 1500 {
+			e.run(60, "c.founder")
+			if l = e.nodes[e.nodes["a.founder"].LeaderID()]; l != nil && l.Role() == Leader {
+				break
+			}
+		}
+		e.run(20, "c.founder")
+		return e, l
+	}
+
+	// Guards against a fleet that lends nothing for most of a second after a loss of power, in
+	// which a voter has lost its disk as well.
+	ginkgo.It("has its lease at once if another process runs at the address of the voter", func() {
+		for seed := int64(1); seed <= 20; seed++ {
+			e, l := lead(seed)
+			from, _ := l.Lease()
+			Expect(l.Followed()).To(BeFalse())
+			l.NoteProcess("c.2", l.members.Voters["c.founder"])
+			Expect(l.Followed()).To(BeTrue(), "seed %d", seed)
+			at, until := l.Lease()
+			Expect(at).To(BeNumerically("<=", min(from, e.now)))
+			Expect(until).To(BeNumerically(">", e.now))
+		}
+	})
+
+	ginkgo.It("waits for the voter's last lease if the process has its ID, or another address", func() {
+		_, l := lead(1)
+		l.NoteProcess("c.founder", l.members.Voters["c.founder"])
+		l.NoteProcess("c.2", "elsewhere")
+		l.NoteProcess("c.2", "")
+		l.NoteProcess("a.2", l.members.Voters["a.founder"])
+		Expect(l.Followed()).To(BeFalse())
+	})
+})
+
 var _ = ginkgo.Describe("a learner", func() {
 	// Guards against a learner that asks a dead leader for ever to be admitted, because its
 	// admission was not replicated before that leader died.
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -25,6 +25,7 @@
 	n.leader = n.ID
 	n.sawLeader = true
 	n.progress = map[string]*progress{}
+	n.ended = map[string]bool{}
 	n.rounds = map[uint64]Proof{}
 	n.proof = Proof{}
 	n.leadingAt = now
@@ -142,17 +143,30 @@
 	return n.leaseFrom, n.roundAt + n.ElectionTimeout
 }
 
-// Followed reports whether the replica leads and all voters have responded to it. No former
-// leader is left then.
+// Followed reports whether the replica leads and all voters have responded to it, or have ended.
+// No former leader is left then.
 func (n *Node) Followed() bool {
 	for id := range n.members.Voters {
-		if id != n.ID && (n.progress[id] == nil || n.progress[id].responseAt == 0) {
+		if id != n.ID && !n.ended[id] && (n.progress[id] == nil || n.progress[id].responseAt == 0) {
 			return false
 		}
 	}
 	return n.role == Leader
 }
 
+// NoteProcess tells a leader that a process with an ID runs at an address. A voter of another ID
+// at that address has ended: its machine has lost its disk.
+func (n *Node) NoteProcess(id, addr string) {
+	if addr == "" || n.role != Leader {
+		return
+	}
+	for v, a := range n.members.Voters {
+		if v != id && a == addr {
+			n.ended[v] = true
+		}
+	}
+}
+
 // LastProof returns the newest proof of leadership, zero if there is none or the
 // replica is not the leader.
 func (n *Node) LastProof() Proof {
--- a/replica/node.go
+++ b/replica/node.go
@@ -99,6 +99,9 @@
 	leaseFrom clock.Millis
 	// leadingSince is the time of the election.
 	leadingSince clock.Millis
+	// ended holds the voters whose process has ended, as the leader knows by another one at
+	// their address.
+	ended map[string]bool
 	// startedAt is when the replica started. forgotten is the end of the longest lease that
 	// a voter of the present election may have forgotten with a restart.
 	startedAt clock.Millis
