Wait longer for tokens after an outage, and no longer than the caller

Cause: recoveryWait. Change: 3 s, and the time limit of the request bounds it, which the wait for a token did not regard; a request whose place in the queue comes after its time limit is refused at once.

Measured: the new spec fails before (requests wait for their time limit in place of being refused).

--- a/frontend/call.go
+++ b/frontend/call.go
@@ -193,7 +193,9 @@
 	if c.account == "" {
 		return nil
 	}
-	t, x := c.handler.Tokens.Take(c.context, c.account)
+	until, cancel := context.WithDeadline(c.context, c.deadline)
+	defer cancel()
+	t, x := c.handler.Tokens.Take(until, c.account)
 	c.token = t
 	return x
 }
--- a/shardclient/tokens.go
+++ b/shardclient/tokens.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/carawayrack/carawayrack/clock"
 	"github.com/carawayrack/carawayrack/leaseholder"
 	"github.com/carawayrack/carawayrack/limit"
@@ -33,7 +36,7 @@
 	sweepInterval = 50 * clock.Millis(1)
 	// recoveryWait is how long requests wait at most after the account had no leaseholder, or
 	// one that recovers the loans of former ones: they have come in together.
-	recoveryWait = 1500 * clock.Millis(1)
+	recoveryWait = 3 * clock.Second
 )
 
 // account is the token cache of one account and the requests that wait for tokens.
@@ -48,10 +51,10 @@
 	patientUntil clock.Millis
 }
 
-// tokenWaiter is a request that waits for a token.
+// tokenWaiter is a request that waits for a token. Its caller waits until deadline.
 type tokenWaiter struct {
-	until  clock.Millis
-	result chan tokenResult
+	until, deadline clock.Millis
+	result          chan tokenResult
 }
 
 type tokenResult struct {
@@ -115,7 +118,10 @@
 			return &Reservation{a, k}, nil
 		}
 	}
-	w := &tokenWaiter{until: now + t.MaxWait, result: make(chan tokenResult, 1)}
+	w := &tokenWaiter{until: now + t.MaxWait, deadline: math.MaxInt64, result: make(chan tokenResult, 1)}
+	if at, ok := c.Deadline(); ok {
+		w.deadline = now + clock.FromDuration(time.Until(at))
+	}
 	a.waiters = append(a.waiters, w)
 	if !a.fetching {
 		a.fetching = true
@@ -130,6 +136,9 @@
 		return &Reservation{a, r.token}, nil
 	case <-c.Done():
 		// A token that arrives too late expires with its loan.
+		if errors.Is(c.Err(), context.DeadlineExceeded) {
+			return nil, refusal.New(refusal.TimedOut, "the deadline has passed")
+		}
 		return nil, refusal.New(refusal.TimedOut, "the caller went away")
 	}
 }
@@ -216,7 +225,7 @@
 	rest := a.waiters[:0]
 	for _, w := range a.waiters {
 		wait := next + clock.Millis(float64(len(rest))*gap)
-		if now+wait <= max(w.until, a.patientUntil) {
+		if now+wait <= min(max(w.until, a.patientUntil), w.deadline) {
 			rest = append(rest, w)
 			continue
 		}
