Count what hosts spend alone when they change the control process

Model: 4,709 requests of an account in 5 s, 4,706 allowed. A host that was cut off for 0.7 s had spent 350 tokens of its own part that nobody counted, and got as many from the leader at once.

Cause: two holes between the two ways of counting. A control process that does not know the host dropped what it had spent, as counted by the leader, which takes a host as absent only after 0.5 s and its next review. And a process dropped reports after 0.5 s of silence although the leader might not have reviewed yet. Change: a process drops them once it has told the leader of the silence, or the leader has reviewed it; a host says since when it had no reply, and a process that does not know it counts what it has spent unless that is longer than the leader needs.

One spec said that nothing is counted from an unknown host; that was the hole. Two specs in its place give what is counted with each silence.

Between 0.5 and 0.9 s of silence a host that changes its control process may be counted twice.

--- a/controlplane/client.go
+++ b/controlplane/client.go
@@ -69,8 +69,8 @@
 	mu       sync.Mutex
 	core     string
 	chosenAt clock.Millis
-	// repliedAt is the time of the last reply of a control process.
-	repliedAt clock.Millis
+	// repliedAt is the time of the last reply of a control process, startedAt that of Run.
+	repliedAt, startedAt clock.Millis
 	// requestAt is the arrival of the last request.
 	requestAt clock.Millis
 }
@@ -79,6 +79,7 @@
 func (l *Client) Run() {
 	l.state = catalog.New(l.Translate)
 	l.instance = rand.Uint64()
+	l.startedAt = l.Clock.Now()
 	l.fleet = &coordinator.Fleet{}
 	l.triggers = make(chan struct{}, 1)
 	go l.loop()
@@ -106,6 +107,13 @@
 	l.mu.Unlock()
 }
 
+// lastReplyAt returns when a control process last replied, the start of the host before.
+func (l *Client) lastReplyAt() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.repliedAt, l.startedAt)
+}
+
 // unreachableAfter is the time without a reply of a control process after
 // which requests do not wait for one.
 const unreachableAfter = idleInterval + busyInterval
@@ -250,7 +258,7 @@
 	a := coordinator.ExchangeArgs{
 		Host:     l.host(),
 		Sequence: l.state.Sequence, Hosts: l.fleet.Digest, Deltas: true, Wants: wants, Returns: returns,
-		Spent: spent, SpentRound: round,
+		Spent: spent, SpentRound: round, SpentFor: sent - l.lastReplyAt(),
 		Rollouts: l.Reports(sent), Instance: l.instance,
 	}
 	var p coordinator.ExchangeReply
--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -136,6 +136,7 @@
 			leaving = append(leaving, id)
 		} else if now-x.at > silentAfter {
 			silent = append(silent, id)
+			x.counted = true
 		}
 	}
 	return silent, leaving
@@ -151,4 +152,9 @@
 	}
 	at, leaving := r.fleet.contacts()
 	r.lender.debitAll(now, r.absence.update(now, at, leaving, r.fleet.lastFleet.Hosts))
+	for id := range r.absence.parts {
+		if x := r.fleet.hosts[id]; x != nil {
+			x.counted = true
+		}
+	}
 }
--- a/coordinator/fleet.go
+++ b/coordinator/fleet.go
@@ -39,6 +39,9 @@
 	instance   uint64
 	spentRound uint64
 	spent      map[string]int
+	// counted is true once the leader takes the host as absent, or has been told that it is
+	// silent: it then counts what the host spends alone.
+	counted bool
 }
 
 // coreRow is a control process with the hosts and the time of its last report.
@@ -66,13 +69,24 @@
 	t.ackedDigest = 0
 }
 
+// countedAfter is the silence after which the leader has counted a host as absent, whichever
+// control process it was in touch with.
+const countedAfter = silentAfter + reportInterval + absenceInterval
+
 // recordHost records an exchange with a host. It returns the tokens that the host has spent of
-// its own part since the last one, none if that is longer than silentAfter ago: the leader
-// takes the host as absent then.
+// its own part since the last one, none if the leader counts them by itself. Those of a host
+// that comes from another control process may be counted twice if it was silent for
+// silentAfter to countedAfter.
 func (t *fleetTable) recordHost(now clock.Millis, a ExchangeArgs) map[string]int {
 	old := t.hosts[a.Host.ID]
-	t.hosts[a.Host.ID] = &hostRow{a.Host, now, a.Instance, a.SpentRound, a.Spent}
-	if old == nil || old.instance != a.Instance || now-old.at > silentAfter {
+	t.hosts[a.Host.ID] = &hostRow{host: a.Host, at: now, instance: a.Instance, spentRound: a.SpentRound, spent: a.Spent}
+	if old == nil || old.instance != a.Instance {
+		if a.SpentFor > countedAfter {
+			return nil
+		}
+		return a.Spent
+	}
+	if old.counted {
 		return nil
 	}
 	if old.spentRound != a.SpentRound {
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -10,20 +10,38 @@
 )
 
 var _ = Describe("what a host has spent alone", func() {
-	// Guards against hosts whose exchanges arrive, but get no reply: they send the same again.
-	It("is counted once, and not after a silence, for which the host counts as absent", func() {
+	newTable := func() (*fleetTable, func(now clock.Millis, instance, round uint64, spent int, spentFor clock.Millis) int) {
 		t := &fleetTable{}
 		t.run()
-		record := func(now clock.Millis, instance, round uint64, spent int) int {
-			return t.recordHost(now, ExchangeArgs{Host: Host{ID: "h"}, Instance: instance, SpentRound: round, Spent: map[string]int{"x": spent}})["x"]
+		return t, func(now clock.Millis, instance, round uint64, spent int, spentFor clock.Millis) int {
+			return t.recordHost(now, ExchangeArgs{
+				Host: Host{ID: "h"}, Instance: instance, SpentRound: round, Spent: map[string]int{"x": spent}, SpentFor: spentFor,
+			})["x"]
 		}
-		Expect(record(0, 1, 0, 9)).To(Equal(0), "the host was not known")
-		Expect(record(100, 1, 1, 3)).To(Equal(3))
-		Expect(record(200, 1, 1, 5)).To(Equal(2))
-		Expect(record(300, 1, 1, 5)).To(Equal(0))
-		Expect(record(400, 1, 2, 4)).To(Equal(4))
-		Expect(record(500+silentAfter, 1, 2, 50)).To(Equal(0))
-		Expect(record(600+silentAfter, 2, 0, 7)).To(Equal(0), "the host has restarted")
+	}
+
+	// Guards against hosts whose exchanges arrive, but get no reply: they send the same again.
+	It("is counted once, and not after a silence for which the leader counts the host as absent", func() {
+		t, record := newTable()
+		Expect(record(100, 1, 1, 3, 100)).To(Equal(3))
+		Expect(record(200, 1, 1, 5, 200)).To(Equal(2))
+		Expect(record(300, 1, 1, 5, 300)).To(Equal(0))
+		Expect(record(400, 1, 2, 4, 100)).To(Equal(4))
+		Expect(record(500+silentAfter, 1, 2, 50, 600)).To(Equal(46), "nobody has counted the host yet")
+		silent, _ := t.silentHosts(600 + 2*silentAfter)
+		Expect(silent).To(Equal([]string{"h"}))
+		Expect(record(600+2*silentAfter, 1, 2, 90, 1200)).To(Equal(0))
+		Expect(record(700+2*silentAfter, 1, 3, 2, 100)).To(Equal(2))
+	})
+
+	// Guards against hosts that change the control process before the leader counts them as
+	// absent: neither of the two counted what they had spent.
+	It("is counted by a control process that does not know the host, unless the leader has done so", func() {
+		_, record := newTable()
+		Expect(record(0, 1, 0, 9, countedAfter)).To(Equal(9))
+		_, record = newTable()
+		Expect(record(0, 1, 0, 9, countedAfter+1)).To(Equal(0))
+		Expect(record(100, 2, 0, 7, countedAfter+1)).To(Equal(0), "the host has restarted")
 	})
 })
 
--- a/coordinator/limits_model_test.go
+++ b/coordinator/limits_model_test.go
@@ -238,7 +238,7 @@
 	wants, returns := h.tokens.Wants(m.now)
 	sent, c := m.now, h.core
 	spent, round := h.tokens.Spent()
-	a := coordinator.ExchangeArgs{Host: coordinator.Host{ID: h.id, Zone: h.zone}, Sequence: h.state, Wants: wants, Returns: returns, Spent: spent, SpentRound: round, Instance: h.instance}
+	a := coordinator.ExchangeArgs{Host: coordinator.Host{ID: h.id, Zone: h.zone}, Sequence: h.state, Wants: wants, Returns: returns, Spent: spent, SpentRound: round, SpentFor: m.now - h.repliedAt, Instance: h.instance}
 	var r coordinator.ExchangeReply
 	if !m.call(h.id, c, func() { r = c.process.Exchange(a) }) {
 		if m.r.Intn(5) == 0 {
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -38,9 +38,10 @@
 	Returns map[string]int
 	// Spent are the tokens that the host has spent of its own part of the rates since the
 	// exchange that got the last reply, by account; SpentRound is the number of such
-	// exchanges.
+	// exchanges, SpentFor the time since the last one.
 	Spent      map[string]int
 	SpentRound uint64
+	SpentFor   clock.Millis
 	// Rollouts are the host's counts of the running roll-outs, Instance tells its
 	// runs apart.
 	Rollouts []rollout.ServiceReport
