--- a/balance/unused.go
+++ b/balance/unused.go
@@ -19,7 +19,7 @@
 	// calmUnusedAfter replaces it while few requests are not served, and recoveredAfter for
 	// unhealthy and slow targets then: they may have recovered, but others serve.
 	calmUnusedAfter = 1300 * clock.Millis(1)
-	recoveredAfter  = 6 * clock.Second
+	recoveredAfter  = 3 * clock.Second
 	// unusedStagger is the additional time for each further owner: the first one may
 	// have died or may get no requests, and in services with few targets a host gets
 	// less than one request a second. It is ten times the delay of observations
