--- a/balance/unused.go
+++ b/balance/unused.go
@@ -25,8 +25,8 @@
 	// less than one request a second. It is ten times the delay of observations
 	// between owners, so that a target rarely gets two such requests at once.
 	unusedStagger = 200 * clock.Millis(1)
-	// unusedOwners is the number of owners that try unused targets. The last of them
-	// begins after 1.8 s, so that its request is in time for the requirement.
+	// unusedOwners is the number of owners that try unused targets. While many requests are
+	// not served, the last of them begins after 1.8 s, in time for the requirement.
 	unusedOwners = 5
 )
 
@@ -39,12 +39,11 @@
 }
 
 // unused returns the target that has been without requests for longest and must be
-// tried by a request of this host, nil if there is none. Healthy targets always get some, so
-// that requests which a sudden fault breaks off do not find the others unused. While many
-// requests are not served, the targets in use may be the worse ones, so that unhealthy targets
-// are tried as well, also by requests that must not be repeated. Targets whose health checks
-// have not passed are left out. Retries and hedges try none: a request of theirs has failed
-// already.
+// tried by a request of this host, nil if there is none. Requests that must not be repeated
+// try targets too. While many requests are not served, the targets in use may be the worse
+// ones; otherwise a fault may break off the requests at those in use at any moment, and the
+// others must not be found unused then. Targets whose health checks have not passed are left
+// out. Retries and hedges try none: a request of theirs has failed already.
 func (p *Pool) unused(now clock.Millis, a Request) *target {
 	if a.Repeated || !p.listed {
 		return nil
