Same order of replicas in each run of the election specs

Change, tests only: replicas start in a fixed order, and the spec waits for a heartbeat. The check is the same. No product code changes.

--- a/replica/election_test.go
+++ b/replica/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 
 	ginkgo "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -18,7 +19,8 @@
 
 func newElectorate(seed int64) *electorate {
 	e := &electorate{rand.New(rand.NewSource(seed)), map[string]*Node{}, 0}
-	for id := range bootstrapMembers().Voters {
+	// The order decides who draws which random number.
+	for _, id := range []string{"a.founder", "b.founder", "c.founder"} {
 		e.start(id, PersistentState{Vote: Vote{Term: 7}})
 	}
 	return e
@@ -135,6 +137,7 @@
 					others = append(others, id)
 				}
 			}
+			slices.Sort(others)
 			e.run(1000, others[0])
 			v := e.nodes[others[1]]
 			e.start(v.ID, PersistentState{Vote: v.vote, Entries: v.entries})
@@ -168,7 +171,8 @@
 })
 
 var _ = ginkgo.Describe("a leader whose voters do not all respond", func() {
-	// lead returns a leader of three restarted voters, of which one does not respond.
+	// lead returns a leader of three restarted voters, of which one does not respond, after the
+	// other one has responded to a heartbeat.
 	lead := func(seed int64) (e *electorate, l *Node) {
 		e = newElectorate(seed)
 		for e.now < 1500 {
@@ -177,7 +181,7 @@
 				break
 			}
 		}
-		e.run(20, "c.founder")
+		e.run(250, "c.founder")
 		return e, l
 	}
 
